--- /dev/null
+++ b/src/wasabivalve/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line of wasabivalve."""
+
+from .core import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/wasabivalve/events/__init__.py
@@ -0,0 +1,5 @@
+"""Numbered log events."""
+
+from .core import EVENT_BY_NUMBER, Event, configure, emit, render_catalogue
+
+__all__ = ["EVENT_BY_NUMBER", "Event", "configure", "emit", "render_catalogue"]
--- /dev/null
+++ b/src/wasabivalve/metrics/core.py
@@ -0,0 +1,72 @@
+"""Send counters, gauges and timings whose names the table lists."""
+
+from typing import NamedTuple
+
+import statsd
+
+ROWS = (
+    ("request.done", "counter", "requests answered by an upstream"),
+    ("request.not_run", "counter", "requests certainly not run"),
+    ("request.unknown", "counter", "requests that may have run"),
+    ("request.duration", "timing", "time from receipt to answer, ms"),
+    ("request.retry", "counter", "further attempts"),
+    ("permit.wait", "timing", "time that a request waited for a slot, ms"),
+    ("permit.refused", "counter", "requests that got no slot"),
+    ("peer.message_dropped", "counter", "unknown or damaged messages"),
+    ("peer.bytes_sent", "counter", "control bytes sent to peers"),
+    ("log.append", "counter", "appends to the log"),
+    ("log.unavailable", "counter", "log calls that failed"),
+    ("ownership.owners_changed", "counter", "changes of owner"),
+    ("quarantine.size", "gauge", "quarantined fingerprints"),
+)
+
+
+class Metric(NamedTuple):
+    """Describe one metric."""
+
+    name: str
+    kind: str
+    text: str
+
+
+METRIC_BY_NAME = {row[0]: Metric(*row) for row in ROWS}
+
+
+class Metrics:
+    """Send metrics to a StatsD server, or drop them when none is set."""
+
+    def __init__(self, host: str | None, port: int = 8125, prefix: str = "wasabivalve"):
+        self._client = statsd.StatsClient(host, port, prefix) if host else None
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add an amount to a counter; raise KeyError for an unlisted name."""
+        metric = METRIC_BY_NAME[name]
+        if self._client:
+            self._client.incr(metric.name, amount)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge; raise KeyError for an unlisted name."""
+        metric = METRIC_BY_NAME[name]
+        if self._client:
+            self._client.gauge(metric.name, value)
+
+    def timing(self, name: str, duration_ms: float) -> None:
+        """Record a duration in milliseconds; raise KeyError for an unlisted name."""
+        metric = METRIC_BY_NAME[name]
+        if self._client:
+            self._client.timing(metric.name, duration_ms)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._client:
+            self._client.close()
+
+
+def render_table() -> str:
+    """Return the page of all metrics in Markdown."""
+    lines = ["# Metrics", "", "| name | kind | meaning |", "|---|---|---|"]
+    lines += [
+        f"| `{metric.name}` | {metric.kind} | {metric.text} |"
+        for metric in METRIC_BY_NAME.values()
+    ]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/src/wasabivalve/routing/rendezvous.py
@@ -0,0 +1,15 @@
+"""Rank names for a key by rendezvous hashing."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def rank_names(key: str, names: Iterable[str]) -> tuple[str, ...]:
+    """Return the names from the highest to the lowest weight for a key."""
+    return tuple(sorted(names, key=lambda name: _weight(key, name), reverse=True))
+
+
+def _weight(key: str, name: str) -> tuple[int, str]:
+    # The name breaks ties, so that every VM ranks alike.
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{name}".encode()), name
--- /dev/null
+++ b/src/wasabivalve/settings/__init__.py
@@ -0,0 +1,5 @@
+"""Settings of an entry process."""
+
+from .core import Loaded, Rejected, check, check_document, load, merge_defaults
+
+__all__ = ["Loaded", "Rejected", "check", "check_document", "load", "merge_defaults"]
