Add the peer bus: ZeroMQ with CURVE keys and a checked codec

Cause: entry VMs need authenticated messages for control and permits. Change: one bus thread per process, requests with correlation ids, a ZAP check that names the sender by its proved key. Conclusion: strangers and damaged messages are dropped and counted.

--- /dev/null
+++ b/src/wasabivalve/peers/__init__.py
@@ -0,0 +1,13 @@
+"""Messages between entry VMs."""
+
+from .codec import MESSAGE_TYPE_BY_KIND, decode, encode
+from .core import Bus, BusOptions, Incoming
+
+__all__ = [
+    "MESSAGE_TYPE_BY_KIND",
+    "Bus",
+    "BusOptions",
+    "Incoming",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/src/wasabivalve/peers/core.py
@@ -0,0 +1,284 @@
+"""Exchange messages with other entry VMs over authenticated ZeroMQ sockets."""
+
+import collections
+import queue
+import secrets
+import socket
+import threading
+from collections.abc import Callable, Mapping
+from concurrent import futures
+from typing import Any, NamedTuple
+
+import zmq
+import zmq.auth
+import zmq.auth.thread
+
+from wasabivalve import events
+from wasabivalve.schema import settings_generated
+
+from . import codec
+
+POLL_MS = 50
+SEND_QUEUE_MESSAGES = 10_000
+# Finds a TCP connection that went silent; ZeroMQ then opens a new one.
+TRANSPORT_HEARTBEAT_MS = 300
+TRANSPORT_TIMEOUT_MS = 900
+RECONNECT_MS = 50
+RECONNECT_MAXIMUM_MS = 500
+_PLAIN = b""
+
+
+class Incoming(NamedTuple):
+    """Carry one message with the peer that sent it and a way to reply."""
+
+    sender: str
+    kind: str
+    message: Any
+    reply: Callable[[str, Mapping[str, Any]], None]
+
+
+class BusOptions(NamedTuple):
+    """Name this VM, its address and keys, and its peers."""
+
+    vm: str
+    endpoint: settings_generated.PeerEndpoint
+    peers: tuple[settings_generated.Peer, ...]
+
+
+class _Outgoing(NamedTuple):
+    peer: str
+    frames: tuple[bytes, bytes, bytes, bytes]
+
+
+class _KnownKeys:
+    """Accept the CURVE keys of the declared peers only."""
+
+    def __init__(self, keys: frozenset[bytes]):
+        self._keys = keys
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether the key belongs to a declared peer."""
+        return key in self._keys
+
+
+class Bus:
+    """Send messages to peers and hand received ones to a function.
+
+    The function runs on the thread of the bus and must not block.
+    """
+
+    def __init__(
+        self,
+        options: BusOptions,
+        on_message: Callable[[Incoming], None],
+        on_drop: Callable[[], None] = lambda: None,
+    ):
+        self._options = options
+        self._on_message = on_message
+        self._on_drop = on_drop
+        self._outgoing: queue.SimpleQueue[_Outgoing] = queue.SimpleQueue()
+        self._pending_by_id: dict[bytes, futures.Future[Any]] = {}
+        self._vm_by_key = {peer["public_key"]: peer["vm"] for peer in options.peers}
+        self._vm_by_key[options.endpoint["public_key"]] = options.vm
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._closing = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="peer-bus", daemon=True)
+        self.bytes_sent_by_kind: collections.Counter[str] = collections.Counter()
+        self.messages_dropped = 0
+
+    def start(self) -> None:
+        """Bind the socket and start the thread; raise ZMQError when it cannot bind."""
+        self._context = zmq.Context()
+        self._authenticator = zmq.auth.thread.ThreadAuthenticator(self._context)
+        self._authenticator.start()
+        keys = frozenset(key.encode() for key in self._vm_by_key)
+        self._authenticator.configure_curve_callback(
+            credentials_provider=_KnownKeys(keys)
+        )
+        self._receiver = self._open_receiver()
+        self._sender_by_vm = {
+            peer["vm"]: self._open_sender(peer)
+            for peer in self._options.peers
+            if peer["vm"] != self._options.vm
+        }
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop the thread and close every socket."""
+        self._closing.set()
+        self._wake()
+        self._thread.join()
+        for sender in self._sender_by_vm.values():
+            sender.close(linger=0)
+        self._receiver.close(linger=0)
+        self._authenticator.stop()
+        self._context.term()
+        self._wake_reader.close()
+        self._wake_writer.close()
+
+    def send(self, peer: str, kind: str, message: Mapping[str, Any]) -> None:
+        """Send a message without waiting; it may be lost."""
+        self._enqueue(peer, kind, _PLAIN, _PLAIN, message)
+
+    def broadcast(self, kind: str, message: Mapping[str, Any]) -> None:
+        """Send a message to every peer."""
+        for peer in self._options.peers:
+            if peer["vm"] != self._options.vm:
+                self.send(peer["vm"], kind, message)
+
+    def request(
+        self, peer: str, kind: str, message: Mapping[str, Any]
+    ) -> futures.Future[Any]:
+        """Send a message and return a future of the reply.
+
+        The future never completes when the peer does not reply: wait for it with a
+        time limit and then call ``forget``.
+        """
+        correlation = secrets.token_bytes(8)
+        future: futures.Future[Any] = futures.Future()
+        self._pending_by_id[correlation] = future
+        future.add_done_callback(lambda _: self._pending_by_id.pop(correlation, None))
+        self._enqueue(peer, kind, correlation, _PLAIN, message)
+        return future
+
+    @staticmethod
+    def forget(future: futures.Future[Any]) -> None:
+        """Release a future whose reply is no longer awaited."""
+        future.cancel()
+
+    def _enqueue(
+        self,
+        peer: str,
+        kind: str,
+        correlation: bytes,
+        reply_to: bytes,
+        message: Mapping[str, Any],
+    ) -> None:
+        payload = codec.encode(kind, message)
+        frames = (kind.encode(), correlation, reply_to, payload)
+        self._outgoing.put(_Outgoing(peer, frames))
+        self._wake()
+
+    def _wake(self) -> None:
+        try:
+            self._wake_writer.send(b"\0")
+        except (BlockingIOError, OSError):
+            # A full buffer wakes the thread as well.
+            pass
+
+    def _open_receiver(self) -> zmq.Socket[bytes]:
+        endpoint = self._options.endpoint
+        receiver = self._context.socket(zmq.ROUTER)
+        receiver.curve_server = True
+        receiver.curve_secretkey = endpoint["secret_key"].encode()
+        receiver.curve_publickey = endpoint["public_key"].encode()
+        receiver.rcvhwm = SEND_QUEUE_MESSAGES
+        receiver.heartbeat_ivl = TRANSPORT_HEARTBEAT_MS
+        receiver.heartbeat_timeout = TRANSPORT_TIMEOUT_MS
+        receiver.bind(f"tcp://{endpoint['host']}:{endpoint['port']}")
+        return receiver
+
+    def _open_sender(self, peer: settings_generated.Peer) -> zmq.Socket[bytes]:
+        endpoint = self._options.endpoint
+        sender = self._context.socket(zmq.DEALER)
+        sender.curve_serverkey = peer["public_key"].encode()
+        sender.curve_secretkey = endpoint["secret_key"].encode()
+        sender.curve_publickey = endpoint["public_key"].encode()
+        sender.sndhwm = SEND_QUEUE_MESSAGES
+        # Without a connection messages are dropped: a late one would be stale.
+        sender.immediate = 1
+        sender.heartbeat_ivl = TRANSPORT_HEARTBEAT_MS
+        sender.heartbeat_timeout = TRANSPORT_TIMEOUT_MS
+        sender.reconnect_ivl = RECONNECT_MS
+        sender.reconnect_ivl_max = RECONNECT_MAXIMUM_MS
+        sender.connect(f"tcp://{peer['host']}:{peer['port']}")
+        return sender
+
+    def _run(self) -> None:
+        poller = zmq.Poller()
+        poller.register(self._receiver, zmq.POLLIN)
+        poller.register(self._wake_reader, zmq.POLLIN)
+        while not self._closing.is_set():
+            poller.poll(POLL_MS)
+            self._drain_wakes()
+            self._send_all()
+            self._receive_all()
+
+    def _drain_wakes(self) -> None:
+        try:
+            while self._wake_reader.recv(4096):
+                pass
+        except BlockingIOError:
+            pass
+
+    def _send_all(self) -> None:
+        while True:
+            try:
+                outgoing = self._outgoing.get_nowait()
+            except queue.Empty:
+                return
+            self._send_one(outgoing)
+
+    def _send_one(self, outgoing: _Outgoing) -> None:
+        if outgoing.peer == self._options.vm:
+            self._handle(outgoing.peer, outgoing.frames)
+            return
+        sender = self._sender_by_vm.get(outgoing.peer)
+        if sender is None:
+            self._drop("unknown peer", outgoing.peer)
+            return
+        try:
+            sender.send_multipart(outgoing.frames, zmq.NOBLOCK)
+        except zmq.Again:
+            return
+        size = sum(len(frame) for frame in outgoing.frames)
+        self.bytes_sent_by_kind[outgoing.frames[0].decode()] += size
+
+    def _receive_all(self) -> None:
+        while True:
+            try:
+                frames = self._receiver.recv_multipart(zmq.NOBLOCK, copy=False)
+            except zmq.Again:
+                return
+            # The key that the connection proved names the peer, not the message.
+            key = frames[-1].get("User-Id")
+            sender = self._vm_by_key.get(str(key))
+            contents = tuple(frame.bytes for frame in frames[1:])
+            if sender is None or len(contents) != 4:
+                self._drop("unknown sender or frames", str(key))
+                continue
+            self._handle(sender, contents)
+
+    def _handle(self, sender: str, frames: tuple[bytes, ...]) -> None:
+        kind_frame, correlation, reply_to, payload = frames
+        kind = kind_frame.decode("ascii", errors="replace")
+        message = codec.decode(kind, payload)
+        if message is None:
+            self._drop("unknown or damaged", sender)
+            return
+        if reply_to:
+            self._complete(reply_to, message)
+            return
+
+        def reply(reply_kind: str, reply_message: Mapping[str, Any]) -> None:
+            if correlation:
+                self._enqueue(sender, reply_kind, _PLAIN, correlation, reply_message)
+            else:
+                self.send(sender, reply_kind, reply_message)
+
+        try:
+            self._on_message(Incoming(sender, kind, message, reply))
+        except Exception as error:
+            events.emit(5, error=repr(error), kind=kind, sender=sender)
+
+    def _complete(self, correlation: bytes, message: Any) -> None:
+        future = self._pending_by_id.get(correlation)
+        if future is not None and future.set_running_or_notify_cancel():
+            future.set_result(message)
+
+    def _drop(self, reason: str, sender: str) -> None:
+        self.messages_dropped += 1
+        self._on_drop()
+        events.emit(100, reason=reason, sender=sender)
--- /dev/null
+++ b/src/wasabivalve/peers/tests/test_peers.py
@@ -0,0 +1,100 @@
+"""Guard the bus against strangers, damaged messages and lost replies."""
+
+import socket
+import threading
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+import zmq
+
+from wasabivalve import peers
+
+PROBE = {"vm": "a", "target": "c", "sequence": 7}
+
+
+def free_port():
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return listener.getsockname()[1]
+
+
+def make_endpoint():
+    public, secret = zmq.curve_keypair()
+    return {
+        "host": "127.0.0.1",
+        "port": free_port(),
+        "public_key": public.decode(),
+        "secret_key": secret.decode(),
+    }
+
+
+def make_peer(vm, endpoint):
+    address = {key: endpoint[key] for key in ("host", "port", "public_key")}
+    return {"vm": vm, "data_centre": "d", **address}
+
+
+@pytest.fixture
+def endpoint_by_vm():
+    return {vm: make_endpoint() for vm in ("a", "b", "stranger")}
+
+
+def make_bus(vm, endpoint_by_vm, on_message):
+    known = tuple(make_peer(name, endpoint_by_vm[name]) for name in ("a", "b"))
+    options = peers.BusOptions(vm, endpoint_by_vm[vm], known)
+    return peers.Bus(options, on_message)
+
+
+def answer_probe(incoming):
+    alive = incoming.sender == "a"
+    incoming.reply("probe_reply", {"target": "c", "sequence": 7, "alive": alive})
+
+
+def request_until_connected(bus):
+    """Repeat the request because messages before the connection are dropped."""
+    for _ in range(100):
+        future = bus.request("b", "probe", PROBE)
+        try:
+            return future.result(0.1)
+        except TimeoutError:
+            bus.forget(future)
+    return None
+
+
+def test_request_gets_the_reply_of_the_proved_sender(endpoint_by_vm):
+    first = make_bus("a", endpoint_by_vm, lambda incoming: None)
+    second = make_bus("b", endpoint_by_vm, answer_probe)
+    first.start()
+    second.start()
+    try:
+        reply = request_until_connected(first)
+        assert reply == {"target": "c", "sequence": 7, "alive": True}
+    finally:
+        first.close()
+        second.close()
+
+
+def test_a_stranger_is_not_heard(endpoint_by_vm):
+    """Anyone on the network could otherwise give commands."""
+    heard = threading.Event()
+    receiver = make_bus("b", endpoint_by_vm, lambda incoming: heard.set())
+    stranger = make_bus("stranger", endpoint_by_vm, lambda incoming: None)
+    receiver.start()
+    stranger.start()
+    try:
+        for _ in range(5):
+            stranger.send("b", "probe", PROBE)
+            assert not heard.wait(0.05)
+    finally:
+        receiver.close()
+        stranger.close()
+
+
+@hypothesis.given(st.sampled_from(sorted(peers.MESSAGE_TYPE_BY_KIND)), st.binary())
+def test_damaged_payload_is_none(kind, payload):
+    """A damaged message must not raise on the thread of the bus."""
+    peers.decode(kind, payload)
+
+
+def test_unknown_kind_is_none():
+    assert peers.decode("unheard-of", b"") is None
