Add the reader of caller requests and the upstream client

Cause: the entry process needs its two HTTP edges. Change: request headers are checked with all findings at once; the client tells for every failure whether the request was certainly not run. Conclusion: the request path can be assembled.

--- /dev/null
+++ b/src/wasabivalve/entry/caller_request.py
@@ -0,0 +1,171 @@
+"""Read the requests of callers and write the answers to them."""
+
+import http
+import json
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NamedTuple
+
+from wasabivalve import outcomes
+
+SERVICE_HEADER = "HTTP_WASABIVALVE_SERVICE"
+KEY_HEADER = "HTTP_WASABIVALVE_KEY"
+RANK_HEADER = "HTTP_WASABIVALVE_RANK"
+DEADLINE_HEADER = "HTTP_WASABIVALVE_DEADLINE_MS"
+IDEMPOTENCY_HEADER = "HTTP_IDEMPOTENCY_KEY"
+
+MAXIMUM_KEY_CHARACTERS = 256
+PROBLEM_TYPE = "application/problem+json"
+_OWN_HEADER_PREFIX = "HTTP_WASABIVALVE_"
+# RFC 9110 section 7.6.1: these end at each hop.
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class CallerRequest(NamedTuple):
+    """Describe one request of a caller."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    service: str
+    key: str
+    rank: str
+    deadline_ms: float
+    idempotency_key: str
+
+
+class Problem(NamedTuple):
+    """Describe an answer of the system's own, as RFC 9457 does."""
+
+    status: int
+    kind: str
+    reason: str
+    retry_after_ms: float = 0.0
+
+
+def read(
+    environ: Mapping[str, Any], request_limit_ms: float
+) -> CallerRequest | tuple[outcomes.Finding, ...]:
+    """Return the request, or every finding about its headers."""
+    findings = list(_check_names(environ))
+    deadline_ms = _read_deadline(environ, request_limit_ms)
+    if deadline_ms is None:
+        text = environ[DEADLINE_HEADER]
+        problem = f"{text!r} is not a positive number of milliseconds"
+        findings.append(_finding(DEADLINE_HEADER, problem))
+    if findings:
+        return tuple(findings)
+    return CallerRequest(
+        method=environ["REQUEST_METHOD"],
+        target=environ.get("REQUEST_URI") or environ["PATH_INFO"],
+        headers=tuple(_forwarded_headers(environ)),
+        body=environ["wsgi.input"].read(),
+        service=environ[SERVICE_HEADER],
+        key=environ.get(KEY_HEADER, ""),
+        rank=environ.get(RANK_HEADER, ""),
+        deadline_ms=deadline_ms or 0.0,
+        idempotency_key=environ.get(IDEMPOTENCY_HEADER, ""),
+    )
+
+
+def _check_names(environ: Mapping[str, Any]) -> Iterable[outcomes.Finding]:
+    if not environ.get(SERVICE_HEADER):
+        yield _finding(SERVICE_HEADER, "header is missing")
+    for header in (SERVICE_HEADER, KEY_HEADER, RANK_HEADER, IDEMPOTENCY_HEADER):
+        value = environ.get(header, "")
+        if len(value) > MAXIMUM_KEY_CHARACTERS:
+            problem = f"value is longer than {MAXIMUM_KEY_CHARACTERS} characters"
+            yield _finding(header, problem)
+        if not value.isprintable():
+            yield _finding(header, "value has unprintable characters")
+        if header != IDEMPOTENCY_HEADER and "," in value:
+            # WSGI joins repeated headers with commas.
+            yield _finding(header, f"{value!r} has a comma or is sent twice")
+
+
+def _read_deadline(environ: Mapping[str, Any], limit_ms: float) -> float | None:
+    text = environ.get(DEADLINE_HEADER)
+    if text is None:
+        return limit_ms
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        return None
+    return min(float(int(text)), limit_ms)
+
+
+def _finding(header: str, problem: str) -> outcomes.Finding:
+    name = header.removeprefix("HTTP_").replace("_", "-").title()
+    return outcomes.Finding("request", name, problem)
+
+
+def _forwarded_headers(environ: Mapping[str, Any]) -> Iterable[tuple[str, str]]:
+    for name, value in environ.items():
+        if name == "CONTENT_TYPE" and value:
+            yield "Content-Type", value
+        if not name.startswith("HTTP_") or name.startswith(_OWN_HEADER_PREFIX):
+            continue
+        header = name.removeprefix("HTTP_").replace("_", "-").title()
+        if header.lower() not in HOP_BY_HOP_HEADERS and header != "Host":
+            yield header, value
+
+
+def problem_of_outcome(outcome: outcomes.NotRun | outcomes.Unknown) -> Problem:
+    """Return the problem document of a request without an upstream answer."""
+    if isinstance(outcome, outcomes.Unknown):
+        return Problem(502, "unknown", outcome.reason)
+    return Problem(503, "not-run", outcome.reason, outcome.retry_after_ms)
+
+
+def write_problem(problem: Problem, start_response: StartResponse) -> list[bytes]:
+    """Write a problem document."""
+    status = http.HTTPStatus(problem.status)
+    document = {
+        "type": f"urn:wasabivalve:{problem.kind}",
+        "title": status.phrase,
+        "status": problem.status,
+        "detail": problem.reason,
+    }
+    body = json.dumps(document).encode()
+    headers = [("Content-Type", PROBLEM_TYPE), ("Content-Length", str(len(body)))]
+    if problem.retry_after_ms > 0:
+        seconds = max(1, round(problem.retry_after_ms / 1000))
+        headers.append(("Retry-After", str(seconds)))
+    start_response(f"{problem.status} {status.phrase}", headers)
+    return [body]
+
+
+def write_done(done: outcomes.Done, start_response: StartResponse) -> list[bytes]:
+    """Write the whole answer of an upstream."""
+    try:
+        phrase = http.HTTPStatus(done.status).phrase
+    except ValueError:
+        phrase = "Status"
+    skipped = HOP_BY_HOP_HEADERS | {"content-length"}
+    headers = [pair for pair in done.headers if pair[0].lower() not in skipped]
+    headers.append(("Content-Length", str(len(done.body))))
+    start_response(f"{done.status} {phrase}", headers)
+    return [done.body]
+
+
+def write_json(document: Any, start_response: StartResponse) -> list[bytes]:
+    """Write a JSON document with status 200."""
+    body = json.dumps(document).encode()
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    ]
+    start_response("200 OK", headers)
+    return [body]
--- /dev/null
+++ b/src/wasabivalve/entry/upstream_client.py
@@ -0,0 +1,234 @@
+"""Send requests to upstreams and tell what their answers prove."""
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+import urllib3
+import urllib3.connection
+import urllib3.exceptions
+
+from wasabivalve import events, outcomes
+
+# A connection idle for longer may have gone silent; a new one costs about 1 ms.
+MAXIMUM_IDLE_MS = 1_000.0
+CONNECT_TIMEOUT_MS = 250.0
+REQUEST_ID_HEADER = "Wasabivalve-Request-Id"
+RUN_HEADER = "Wasabivalve-Run"
+TOKEN_HEADER = "Wasabivalve-Token"
+DEADLINE_HEADER = "Wasabivalve-Deadline-Ms"
+
+
+class Address(NamedTuple):
+    """Name the IP address and port of an upstream."""
+
+    host: str
+    port: int
+
+
+class UpstreamRequest(NamedTuple):
+    """Describe one attempt at an upstream."""
+
+    address: Address
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    request_id: str
+    token: str
+    timeout_ms: float
+
+
+class Attempt(NamedTuple):
+    """Tell the outcome of one attempt and what it says of the upstream."""
+
+    outcome: outcomes.Outcome
+    duration_ms: float
+    crashed: bool = False
+    silent: bool = False
+    stale_owner: bool = False
+
+
+class _FreshPool(urllib3.HTTPConnectionPool):
+    """Keep connections, but drop those idle for long or older than a silent one."""
+
+    def __init__(self, *arguments: Any, **options: Any):
+        super().__init__(*arguments, **options)
+        self.distrusted_before = 0.0
+
+    def _new_conn(self) -> Any:
+        connection: Any = super()._new_conn()
+        connection.opened_at = connection.idle_since = time.monotonic()
+        return connection
+
+    def _get_conn(self, timeout: float | None = None) -> Any:
+        connection: Any = super()._get_conn(timeout)
+        idle_ms = (time.monotonic() - connection.idle_since) * 1000
+        if idle_ms > MAXIMUM_IDLE_MS or connection.opened_at < self.distrusted_before:
+            connection.close()
+            connection.opened_at = time.monotonic()
+        return connection
+
+    def _put_conn(self, connection: Any) -> None:
+        if connection is not None:
+            connection.idle_since = time.monotonic()
+        super()._put_conn(connection)
+
+
+class UpstreamClient:
+    """Hold the connections of this process to every upstream."""
+
+    def __init__(self, connections_per_instance: int, maximum_body_bytes: int):
+        self._connections = connections_per_instance
+        self._maximum_body_bytes = maximum_body_bytes
+        self._pool_by_address: dict[Address, _FreshPool] = {}
+        self._lock = threading.Lock()
+
+    def send(self, request: UpstreamRequest) -> Attempt:
+        """Run one attempt; the outcome tells what is proved."""
+        pool = self._pool(request.address)
+        started = time.monotonic()
+        try:
+            response = pool.urlopen(
+                request.method,
+                request.target,
+                body=request.body,
+                headers=_headers(request),
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                decode_content=False,
+                assert_same_host=False,
+                timeout=_timeout(request.timeout_ms),
+                pool_timeout=min(request.timeout_ms, CONNECT_TIMEOUT_MS) / 1000,  # type: ignore[arg-type]
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return _failed(pool, error, started)
+        return self._read(pool, request, response, started)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        with self._lock:
+            for pool in self._pool_by_address.values():
+                pool.close()
+            self._pool_by_address.clear()
+
+    def _pool(self, address: Address) -> _FreshPool:
+        with self._lock:
+            pool = self._pool_by_address.get(address)
+            if pool is None:
+                pool = _FreshPool(
+                    address.host, address.port, maxsize=self._connections, block=True
+                )
+                self._pool_by_address[address] = pool
+            return pool
+
+    def _read(
+        self,
+        pool: _FreshPool,
+        request: UpstreamRequest,
+        response: urllib3.BaseHTTPResponse,
+        started: float,
+    ) -> Attempt:
+        try:
+            body = _read_bounded(response, self._maximum_body_bytes)
+        except urllib3.exceptions.HTTPError as error:
+            response.close()
+            events.emit(400, request_id=request.request_id, error=type(error).__name__)
+            return _failed(pool, error, started)
+        duration_ms = _elapsed_ms(started)
+        if body is None:
+            response.close()
+            reason = f"answer is larger than {self._maximum_body_bytes} bytes"
+            return Attempt(outcomes.Unknown(reason), duration_ms)
+        response.release_conn()
+        return _answered(request, response, body, duration_ms)
+
+
+def _read_bounded(
+    response: urllib3.BaseHTTPResponse, maximum_bytes: int
+) -> bytes | None:
+    # Reading to the end makes urllib3 compare the length with Content-Length.
+    body = bytearray()
+    for part in response.stream(65_536, decode_content=False):
+        body += part
+        if len(body) > maximum_bytes:
+            return None
+    return bytes(body)
+
+
+def _answered(
+    request: UpstreamRequest,
+    response: urllib3.BaseHTTPResponse,
+    body: bytes,
+    duration_ms: float,
+) -> Attempt:
+    echoed = response.headers.get(REQUEST_ID_HEADER, request.request_id)
+    if echoed != request.request_id:
+        reason = f"answer belongs to request {echoed}"
+        return Attempt(outcomes.Unknown(reason), duration_ms)
+    if states_not_run(response.status, response.headers):
+        retry_after_ms = _retry_after_ms(response.headers)
+        reason = f"upstream answered {response.status} and did not run the request"
+        outcome = outcomes.NotRun(reason, retry_after_ms)
+        return Attempt(outcome, duration_ms, stale_owner=response.status in (409, 421))
+    headers = tuple((name, value) for name, value in response.headers.items())
+    return Attempt(outcomes.Done(response.status, headers, body), duration_ms)
+
+
+def states_not_run(status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether an upstream's answer proves that it did not run the request."""
+    if status == 421:
+        return True
+    return status in (409, 429, 503) and headers.get(RUN_HEADER) == "no"
+
+
+def _failed(
+    pool: _FreshPool, error: urllib3.exceptions.HTTPError, started: float
+) -> Attempt:
+    duration_ms = _elapsed_ms(started)
+    if isinstance(
+        error,
+        urllib3.exceptions.NewConnectionError
+        | urllib3.exceptions.ConnectTimeoutError
+        | urllib3.exceptions.EmptyPoolError,
+    ):
+        crashed = isinstance(error, urllib3.exceptions.NewConnectionError)
+        reason = f"no byte was sent: {type(error).__name__}"
+        return Attempt(outcomes.NotRun(reason), duration_ms, crashed=crashed)
+    silent = isinstance(error, urllib3.exceptions.ReadTimeoutError)
+    if silent:
+        # Connections of the same age share the fault that silenced this one.
+        pool.distrusted_before = time.monotonic()
+        events.emit(402, host=pool.host, port=pool.port)
+    reason = f"answer did not arrive whole: {type(error).__name__}"
+    return Attempt(
+        outcomes.Unknown(reason), duration_ms, crashed=not silent, silent=silent
+    )
+
+
+def _headers(request: UpstreamRequest) -> dict[str, str]:
+    headers = dict(request.headers)
+    headers[REQUEST_ID_HEADER] = request.request_id
+    headers[DEADLINE_HEADER] = str(max(1, int(request.timeout_ms)))
+    if request.token:
+        headers[TOKEN_HEADER] = request.token
+    return headers
+
+
+def _timeout(timeout_ms: float) -> urllib3.Timeout:
+    connect_ms = min(timeout_ms, CONNECT_TIMEOUT_MS)
+    return urllib3.Timeout(connect=connect_ms / 1000, read=timeout_ms / 1000)
+
+
+def _retry_after_ms(headers: Mapping[str, str]) -> float:
+    text = headers.get("Retry-After", "")
+    return float(text) * 1000 if text.isdigit() else 0.0
+
+
+def _elapsed_ms(started: float) -> float:
+    return (time.monotonic() - started) * 1000
+
+
+Send = Callable[[UpstreamRequest], Attempt]
