--- /dev/null
+++ b/src/wasabivalve/routing/owner_table.py
@@ -0,0 +1,79 @@
+"""Look up the owner of a key in the owner table of a shard."""
+
+import bisect
+from typing import NamedTuple
+
+from wasabivalve import outcomes, ownership
+from wasabivalve.schema import messages_generated
+
+
+class Owner(NamedTuple):
+    """Name the server that owns a key and the token of its grant."""
+
+    server: str
+    token: ownership.Token
+
+
+class OwnerTable:
+    """Hold the owners of the ranges and single keys of one shard, unchanging."""
+
+    def __init__(self, message: messages_generated.OwnerTable) -> None:
+        """Build the table from a message without problems (``find_problems``)."""
+        self.shard = message["shard"]
+        self.generation = _token(message["generation"])
+        self.provisional = message["provisional"]
+        ranges = sorted(message["ranges"], key=lambda entry: entry["start"])
+        self._starts = [entry["start"] for entry in ranges]
+        self._ends = [entry["end"] for entry in ranges]
+        self._owners = [_owner(entry["server"], entry["token"]) for entry in ranges]
+        self._owner_by_key = {
+            entry["key"]: _owner(entry["server"], entry["token"])
+            for entry in message["exceptions"]
+        }
+
+    def owner_of(self, key: str) -> Owner | None:
+        """Return the owner of a key, or None when the table names none."""
+        if key in self._owner_by_key:
+            return self._owner_by_key[key]
+        return self.owner_at(ownership.position_of_key(key))
+
+    def owner_at(self, position: int) -> Owner | None:
+        """Return the owner of the range with this position, exceptions aside."""
+        index = bisect.bisect_right(self._starts, position) - 1
+        if index < 0 or position >= self._ends[index]:
+            return None
+        return self._owners[index]
+
+
+def newest(
+    current: OwnerTable | None, message: messages_generated.OwnerTable
+) -> OwnerTable:
+    """Return the table with the higher generation, the current one when equal."""
+    if current is not None and _token(message["generation"]) <= current.generation:
+        return current
+    return OwnerTable(message)
+
+
+def find_problems(
+    message: messages_generated.OwnerTable,
+) -> tuple[outcomes.Finding, ...]:
+    """Return a finding for each range that is empty, too long or overlaps another."""
+    found = []
+    previous_end = 0
+    file = f"owner_table {message['shard']}"
+    for entry in sorted(message["ranges"], key=lambda entry: entry["start"]):
+        name = f"[{entry['start']}, {entry['end']})"
+        if not entry["start"] < entry["end"] <= ownership.POSITIONS:
+            found.append(outcomes.Finding(file, "$.ranges", f"{name} is not a range"))
+        if entry["start"] < previous_end:
+            found.append(outcomes.Finding(file, "$.ranges", f"{name} overlaps another"))
+        previous_end = max(previous_end, entry["end"])
+    return tuple(found)
+
+
+def _token(message: messages_generated.Token) -> ownership.Token:
+    return ownership.Token(message["term"], message["position"], message["step"])
+
+
+def _owner(server: str, token: messages_generated.Token) -> Owner | None:
+    return Owner(server, _token(token)) if server else None
