--- /dev/null
+++ b/src/wasabivalve/resources/specs.py
@@ -0,0 +1,48 @@
+"""Check the spec of a resource against the schema of its kind."""
+
+import functools
+from typing import Any, NamedTuple
+
+import jsonschema
+
+from wasabivalve import schema
+
+DEFINITION_BY_KIND = {
+    "service": "ServiceSpec",
+    "traffic_rank": "TrafficRankSpec",
+    "key_range": "KeyRangeSpec",
+    "drain_order": "DrainOrderSpec",
+}
+KINDS = tuple(DEFINITION_BY_KIND)
+
+
+class Problem(NamedTuple):
+    """Name one problem of a document and its JSON path."""
+
+    path: str
+    problem: str
+
+
+@functools.cache
+def _validator(definition: str) -> jsonschema.Draft202012Validator:
+    root = schema.load_schema("resources")
+    return jsonschema.Draft202012Validator(
+        {"$ref": f"#/$defs/{definition}", "$defs": root["$defs"]}
+    )
+
+
+def check_definition(definition: str, value: Any) -> tuple[Problem, ...]:
+    """Return the problems of a value against one definition of the schema."""
+    errors = _validator(definition).iter_errors(value)
+    return tuple(sorted(Problem(error.json_path, error.message) for error in errors))
+
+
+def check_spec(kind: str, spec: Any) -> tuple[Problem, ...]:
+    """Return the problems of a spec; raise KeyError for an unknown kind."""
+    return check_definition(DEFINITION_BY_KIND[kind], spec)
+
+
+def check_name(name: Any) -> tuple[Problem, ...]:
+    """Return the problems of a resource name."""
+    document = {"kind": "service", "name": name, "spec": {}}
+    return check_definition("ResourceDocument", document)
--- /dev/null
+++ b/src/wasabivalve/resources/writes.py
@@ -0,0 +1,49 @@
+"""Build signed resource writes."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from wasabivalve.schema import records_generated
+
+from . import replay, signing
+
+
+def build(
+    kind: str,
+    name: str,
+    spec: Mapping[str, Any] | None,
+    *,
+    expected_revision: int,
+    operator: str,
+    key_hex: str,
+    record_id: str,
+    written_at: str,
+) -> records_generated.ResourceWrite:
+    """Return a signed write; a spec of None deletes the resource.
+
+    ``written_at`` is a wall time in RFC 3339, ``key_hex`` the operator's key in hex.
+    """
+    record: records_generated.ResourceWrite = {
+        "kind": "resource_write",
+        "record_id": record_id,
+        "resource_kind": kind,
+        "name": name,
+        "expected_revision": expected_revision,
+        "deleted": spec is None,
+        "spec": dict(spec or {}),
+        "operator": operator,
+        "written_at": written_at,
+        "signature": "",
+    }
+    record["signature"] = signing.sign(record, key_hex)
+    return record
+
+
+def stream_start(record_id: str) -> dict[str, Any]:
+    """Return the marker that takes offset 0 of an empty configuration stream."""
+    return {"kind": "stream_start", "record_id": record_id}
+
+
+def leads_stream(next_offset: int) -> bool:
+    """Return whether a marker must precede the first write of a stream."""
+    return next_offset == replay.NO_REVISION
