Validate files of resources and settings together

Cause: a damaging file must be caught before it is published, with every finding at once.

Of two clashing resources the one being written is named with its place.

--- a/src/wasabivalve/resources/__init__.py
+++ b/src/wasabivalve/resources/__init__.py
@@ -1,13 +1,15 @@
 """Declared resources: signed writes, replay, validation and lookups."""
 
-from . import replay, rules, signing, specs, view, writes
+from . import replay, rules, signing, specs, validation, view, writes
 from .replay import EMPTY, Applied, ConfigurationState, Resource, apply
+from .validation import Document, validate
 from .view import Instance, KeyRange, Rank, Service, View
 
 __all__ = [
     "EMPTY",
     "Applied",
     "ConfigurationState",
+    "Document",
     "Instance",
     "KeyRange",
     "Rank",
@@ -19,6 +21,8 @@
     "rules",
     "signing",
     "specs",
+    "validate",
+    "validation",
     "view",
     "writes",
 ]
--- a/src/wasabivalve/resources/rules.py
+++ b/src/wasabivalve/resources/rules.py
@@ -76,8 +76,19 @@
     for name, spec in specs_of_kind(spec_by_key, "traffic_rank").items():
         other = rank_by_order.setdefault(spec["order"], name)
         if other != name:
-            problem = f"order {spec['order']} is also the order of rank {other!r}"
-            yield RuleProblem(("traffic_rank", name), "$.spec.order", problem)
+            key, other_key = _blame("traffic_rank", name, other, written)
+            problem = f"order {spec['order']} is also the order of rank"
+            yield RuleProblem(key, "$.spec.order", f"{problem} {other_key[1]!r}")
+
+
+def _blame(
+    kind: str, name: str, other: str, written: Collection[Key]
+) -> tuple[Key, Key]:
+    # Of two resources that clash, the one being written is named with its place.
+    key, other_key = (kind, name), (kind, other)
+    if key not in written and other_key in written:
+        return other_key, key
+    return key, other_key
 
 
 def _check_floors(
@@ -136,8 +147,9 @@
         last_end, last_name = -1, ""
         for _, start, end, name in group:
             if start < last_end:
-                problem = f"overlaps key range {last_name!r} of service {service!r}"
-                yield RuleProblem(("key_range", name), "$.spec.start", problem)
+                key, other = _blame("key_range", name, last_name, written)
+                problem = f"overlaps key range {other[1]!r} of service {service!r}"
+                yield RuleProblem(key, "$.spec.start", problem)
             if end > last_end:
                 last_end, last_name = end, name
 
--- a/src/wasabivalve/resources/view.py
+++ b/src/wasabivalve/resources/view.py
@@ -135,6 +135,7 @@
     ]
 
 
+# JSON Schema counts 2.0 as an integer, hence the conversions below.
 def _service(resource: replay.Resource) -> Service:
     spec = resource.spec
     methods = spec.get("idempotent_methods", DEFAULT_IDEMPOTENT_METHODS)
@@ -143,18 +144,18 @@
         revision=resource.revision,
         divided_by_key=spec["divided_by_key"],
         checks_fencing=spec.get("checks_fencing", True),
-        slots=spec["slots"],
-        connections=spec.get("connections", DEFAULT_CONNECTIONS),
+        slots=int(spec["slots"]),
+        connections=int(spec.get("connections", DEFAULT_CONNECTIONS)),
         instances=tuple(_instance(row) for row in spec["instances"]),
         idempotent_methods=frozenset(methods),
-        ranges_per_instance=spec.get(
-            "ranges_per_instance", DEFAULT_RANGES_PER_INSTANCE
+        ranges_per_instance=int(
+            spec.get("ranges_per_instance", DEFAULT_RANGES_PER_INSTANCE)
         ),
     )
 
 
 def _instance(row: Mapping[str, Any]) -> Instance:
-    return Instance(row["name"], row["data_centre"], row["host"], row["port"])
+    return Instance(row["name"], row["data_centre"], row["host"], int(row["port"]))
 
 
 def _rank(resource: replay.Resource) -> Rank:
@@ -162,14 +163,14 @@
     return Rank(
         name=resource.name,
         revision=resource.revision,
-        order=spec["order"],
+        order=int(spec["order"]),
         floor=float(spec["floor"]),
-        target_ms=spec["target_ms"],
+        target_ms=int(spec["target_ms"]),
         objective=float(spec["objective"]),
-        queue_requests=spec.get("queue_requests", DEFAULT_QUEUE_REQUESTS),
-        queue_bytes=spec.get("queue_bytes", DEFAULT_QUEUE_BYTES),
-        queue_age_ms=spec.get("queue_age_ms", DEFAULT_QUEUE_AGE_MS),
-        link_bytes_per_s=spec.get("link_bytes_per_s", DEFAULT_LINK_BYTES_PER_S),
+        queue_requests=int(spec.get("queue_requests", DEFAULT_QUEUE_REQUESTS)),
+        queue_bytes=int(spec.get("queue_bytes", DEFAULT_QUEUE_BYTES)),
+        queue_age_ms=int(spec.get("queue_age_ms", DEFAULT_QUEUE_AGE_MS)),
+        link_bytes_per_s=int(spec.get("link_bytes_per_s", DEFAULT_LINK_BYTES_PER_S)),
     )
 
 
