Add key range map and initial placement

Cause: owners must be found without a table per key. Conclusion: other ownership modules can use the map.

--- a/src/wasabivalve/ownership/key_ranges.py
+++ b/src/wasabivalve/ownership/key_ranges.py
@@ -1,10 +1,208 @@
-"""Map keys to positions and positions to ranges."""
+"""Map keys to positions and positions to ordered server lists."""
+
+import array
+import bisect
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from types import MappingProxyType
+from typing import NamedTuple
 
 import xxhash
 
+from wasabivalve.routing import rendezvous
+
+from . import successors
+
 POSITIONS = 1 << 64
 
+Servers = tuple[str, ...]
+
+
+class RangeError(ValueError):
+    """Report a range that does not fit the key space or the map."""
+
+
+class KeyRange(NamedTuple):
+    """Give the positions [start, end) their servers, owner first."""
+
+    start: int
+    end: int
+    servers: Servers
+
 
 def position_of_key(key: str) -> int:
     """Return the position of a key, from 0 to 2**64 - 1."""
     return xxhash.xxh3_64_intdigest(key.encode())
+
+
+class RangeMap:
+    """Hold boundaries with server lists and exceptions for single keys.
+
+    A map is never changed in place: each change returns a new map, so that the
+    request path can read one without a lock. The ranges cover every position.
+    """
+
+    __slots__ = ("_servers", "_servers_by_key", "_starts")
+
+    def __init__(
+        self,
+        ranges: Iterable[KeyRange] = (KeyRange(0, POSITIONS, ()),),
+        servers_by_key: Mapping[str, Servers] | None = None,
+    ):
+        """Build a map; raise RangeError unless the ranges tile the key space."""
+        self._starts = array.array("Q")
+        self._servers: list[Servers] = []
+        expected = 0
+        for item in ranges:
+            if item.start != expected or not item.start < item.end <= POSITIONS:
+                raise RangeError(f"range [{item.start}, {item.end}) leaves a gap")
+            self._starts.append(item.start)
+            self._servers.append(tuple(item.servers))
+            expected = item.end
+        if expected != POSITIONS:
+            raise RangeError(f"ranges end at {expected} instead of {POSITIONS}")
+        self._servers_by_key = dict(servers_by_key or {})
+
+    def __len__(self) -> int:
+        """Return the number of ranges."""
+        return len(self._starts)
+
+    def __iter__(self) -> Iterator[KeyRange]:
+        """Yield the ranges in the order of their positions."""
+        return map(self._range_at_index, range(len(self._starts)))
+
+    def __eq__(self, other: object) -> bool:
+        """Compare ranges, servers and exceptions."""
+        if not isinstance(other, RangeMap):
+            return NotImplemented
+        return (
+            self._starts == other._starts
+            and self._servers == other._servers
+            and self._servers_by_key == other._servers_by_key
+        )
+
+    __hash__ = None  # type: ignore[assignment]
+
+    @property
+    def exceptions(self) -> Mapping[str, Servers]:
+        """Return the servers of the keys that are placed singly."""
+        return MappingProxyType(self._servers_by_key)
+
+    def servers_of_key(self, key: str) -> Servers:
+        """Return the ordered servers of a key, owner first; empty when none."""
+        servers = self._servers_by_key.get(key)
+        if servers is not None:
+            return servers
+        return self.servers_at(position_of_key(key))
+
+    def servers_at(self, position: int) -> Servers:
+        """Return the ordered servers of the range that holds a position."""
+        return self._servers[bisect.bisect_right(self._starts, position) - 1]
+
+    def range_at(self, position: int) -> KeyRange:
+        """Return the range that holds a position; raise RangeError outside."""
+        return self._range_at_index(self._index_at(position))
+
+    def split(self, position: int) -> "RangeMap":
+        """Return a map with a boundary at a position; both parts keep their list."""
+        index = self._index_at(position)
+        if self._starts[index] == position:
+            return self
+        result = self._copy()
+        result._starts.insert(index + 1, position)
+        result._servers.insert(index + 1, self._servers[index])
+        return result
+
+    def merge(self, position: int) -> "RangeMap":
+        """Return a map without the boundary at a position.
+
+        Raise RangeError when there is none or when the lists of both sides differ.
+        """
+        index = self._index_at(position)
+        if self._starts[index] != position or index == 0:
+            raise RangeError(f"no boundary at position {position}")
+        if self._servers[index - 1] != self._servers[index]:
+            raise RangeError(f"server lists differ at position {position}")
+        result = self._copy()
+        del result._starts[index]
+        del result._servers[index]
+        return result
+
+    def assign(
+        self,
+        ranges: Iterable[KeyRange] = (),
+        exceptions: Mapping[str, Sequence[str]] | None = None,
+        removed_exceptions: Iterable[str] = (),
+    ) -> "RangeMap":
+        """Return a map with these lists in force; split ranges where they need it.
+
+        Raise RangeError for a range outside the key space.
+        """
+        result = self._copy()
+        for item in ranges:
+            result._set_range(item)
+        for key in removed_exceptions:
+            result._servers_by_key.pop(key, None)
+        for key, servers in (exceptions or {}).items():
+            result._servers_by_key[key] = tuple(servers)
+        return result
+
+    def _copy(self) -> "RangeMap":
+        result = RangeMap.__new__(RangeMap)
+        result._starts = self._starts[:]
+        result._servers = self._servers[:]
+        result._servers_by_key = self._servers_by_key.copy()
+        return result
+
+    def _set_range(self, item: KeyRange) -> None:
+        if not 0 <= item.start < item.end <= POSITIONS:
+            raise RangeError(f"range [{item.start}, {item.end}) is empty or outside")
+        first = self._index_at(item.start)
+        last = self._index_at(item.end - 1)
+        tail = self._range_at_index(last)
+        starts = [item.start]
+        servers = [tuple(item.servers)]
+        if self._starts[first] < item.start:
+            starts.insert(0, self._starts[first])
+            servers.insert(0, self._servers[first])
+        if item.end < tail.end:
+            starts.append(item.end)
+            servers.append(tail.servers)
+        self._starts[first : last + 1] = array.array("Q", starts)
+        self._servers[first : last + 1] = servers
+
+    def _index_at(self, position: int) -> int:
+        if not 0 <= position < POSITIONS:
+            raise RangeError(f"position {position} is outside the key space")
+        return bisect.bisect_right(self._starts, position) - 1
+
+    def _range_at_index(self, index: int) -> KeyRange:
+        following = index + 1
+        last = following == len(self._starts)
+        end = POSITIONS if last else self._starts[following]
+        return KeyRange(self._starts[index], end, self._servers[index])
+
+
+def initial_ranges(
+    servers: Sequence[str],
+    ranges_per_server: int,
+    data_centre_by_server: Mapping[str, str] | None = None,
+    list_length: int = 3,
+) -> RangeMap:
+    """Return equal ranges with the same number of them on each server.
+
+    The successors of one server's ranges are spread evenly over the others, so that
+    its loss moves only its own share and leaves the rest in balance.
+    """
+    names = sorted(set(servers))
+    if not names or ranges_per_server < 1:
+        return RangeMap()
+    count = len(names) * ranges_per_server
+    bounds = [POSITIONS * index // count for index in range(count + 1)]
+    choose = successors.chooser(names, data_centre_by_server or {}, list_length)
+    ranges = []
+    for index in range(count):
+        # Each block of ranges holds every server once, in an order of its own.
+        block, place = divmod(index, len(names))
+        owner = rendezvous.rank_names(f"block {block}", names)[place]
+        ranges.append(KeyRange(bounds[index], bounds[index + 1], choose(owner)))
+    return RangeMap(ranges)
