Add membership view

Cause: dispatchers and record holders are chosen among live VMs. Above nine VMs each VM is watched by eight others at geometric distances; their notices pass along the same links. A VM that hears fewer than half of those it watches has no majority and passes no suspicion on. Conclusion: ready for the entry daemon; notices use probe_reply with sequence 0, so the schema stays as it is.

--- /dev/null
+++ b/src/wasabivalve/membership/__init__.py
@@ -0,0 +1,23 @@
+"""Suspicion of entry VMs that have failed."""
+
+from .core import (
+    NOTICE_SEQUENCE,
+    Action,
+    Change,
+    MembershipView,
+    Notice,
+    Probe,
+    Timing,
+)
+from .overlay import watchers_by_name
+
+__all__ = [
+    "NOTICE_SEQUENCE",
+    "Action",
+    "Change",
+    "MembershipView",
+    "Notice",
+    "Probe",
+    "Timing",
+    "watchers_by_name",
+]
