--- /dev/null
+++ b/src/wasabivalve/admission/slot_use.py
@@ -0,0 +1,81 @@
+"""Account slot time by rank over a sliding window."""
+
+import collections
+
+WINDOW_MS = 1_000.0
+"""Length of the sliding window over which floors are counted."""
+
+EWMA_WEIGHT = 0.1
+"""Weight of the newest duration in the expected duration."""
+
+
+class SlotUse:
+    """Hold the slot time and the expected duration of one rank."""
+
+    def __init__(self) -> None:
+        self.backlogged_since: float | None = None
+        self._ended: collections.deque[tuple[float, float]] = collections.deque()
+        self._started_by_permit: dict[str, float] = {}
+        self._duration_ms = 0.0
+        self._measured_at: float | None = None
+
+    def start(self, permit_id: str, now: float) -> None:
+        """Count a slot as used from now on."""
+        self._started_by_permit[permit_id] = now
+
+    def end(self, permit_id: str, now: float, *, measured: bool) -> None:
+        """Count a slot as free, and use its duration as a measurement."""
+        started = self._started_by_permit.pop(permit_id)
+        self._ended.append((started, now))
+        while self._ended and self._ended[0][1] <= now - WINDOW_MS:
+            self._ended.popleft()
+        if measured:
+            self._measure(now - started, now)
+
+    def expected_ms(self, now: float) -> float:
+        """Return the expected duration in ms, 0 without a recent measurement.
+
+        An old measurement is dropped, because one that is too high refuses
+        every request and so prevents the measurement that would correct it.
+        """
+        if self._measured_at is None or now - self._measured_at > WINDOW_MS:
+            return 0.0
+        return self._duration_ms
+
+    def used_ms(self, since: float, now: float) -> float:
+        """Return the slot time used since a time.
+
+        A permit in use counts with its expected duration at least, so that
+        two slots that become free together do not both go to the same rank.
+        """
+        ended = sum(
+            end - max(start, since) for start, end in self._ended if end > since
+        )
+        expected = self.expected_ms(now)
+        running = sum(
+            max(now - max(start, since), expected)
+            for start in self._started_by_permit.values()
+        )
+        return ended + running
+
+    def deficit_ms(self, floor_slots: float, now: float) -> float | None:
+        """Return how far the rank is below its floor, or None when it is not.
+
+        The floor accrues only while requests of the rank wait, at most over one
+        window. The rank is served when it lacks half an expected duration, so
+        that its mean use equals the floor.
+        """
+        if self.backlogged_since is None or floor_slots <= 0.0:
+            return None
+        since = max(self.backlogged_since, now - WINDOW_MS)
+        missing = floor_slots * (now - since) - self.used_ms(since, now)
+        # A duration beyond the whole window's floor would never come due.
+        enough = min(self.expected_ms(now) / 2, floor_slots * WINDOW_MS)
+        return missing if missing > 0.0 and missing >= enough else None
+
+    def _measure(self, duration_ms: float, now: float) -> None:
+        if self._measured_at is None or now - self._measured_at > WINDOW_MS:
+            self._duration_ms = duration_ms
+        else:
+            self._duration_ms += EWMA_WEIGHT * (duration_ms - self._duration_ms)
+        self._measured_at = now
