Add classification of attempts and retry rules

Cause: only a proof of "not run" may lead to a second attempt of a non-idempotent request, and retries must not feed an overload.

Change: retries.classify turns a response or transport failure into Done, NotRun or Unknown; retries.next_attempt returns Retry or Stop within the deadline, five attempts and a token budget of a tenth of the requests.

--- /dev/null
+++ b/src/wasabivalve/retries/classification.py
@@ -0,0 +1,77 @@
+"""Classify what one attempt at an upstream proved."""
+
+from typing import NamedTuple
+
+from wasabivalve import outcomes
+
+RUN_HEADER = "wasabivalve-run"
+MISDIRECTED = 421
+"""The server refused the token or had no lease; always sent before a run."""
+
+SHEDDING_STATUSES = frozenset({429, 503})
+"""Statuses that prove "not run" together with ``Wasabivalve-Run: no``."""
+
+NOT_CONNECTED = "not_connected"
+CUT_OFF = "cut_off"
+OTHER_REQUEST = "other_request"
+
+
+class UpstreamResponse(NamedTuple):
+    """Carry what was read of a response.
+
+    ``complete`` is false when the body ended early; ``matches`` is false when
+    the response echoes the id of another request.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    complete: bool = True
+    matches: bool = True
+
+
+class TransportFailure(NamedTuple):
+    """Describe an attempt that ended without the headers of a response.
+
+    ``bytes_written`` is true as soon as a write to the connection was tried,
+    since part of it may have arrived.
+    """
+
+    reason: str
+    bytes_written: bool
+
+
+def classify(attempt: UpstreamResponse | TransportFailure) -> outcomes.Outcome:
+    """Return Done, NotRun when that is proved, and Unknown otherwise."""
+    if isinstance(attempt, TransportFailure):
+        if attempt.bytes_written:
+            return outcomes.Unknown(attempt.reason)
+        return outcomes.NotRun(attempt.reason)
+    if not attempt.matches:
+        return outcomes.Unknown(OTHER_REQUEST)
+    if _proves_not_run(attempt):
+        return outcomes.NotRun(f"status_{attempt.status}", _retry_after_ms(attempt))
+    if not attempt.complete:
+        return outcomes.Unknown(CUT_OFF)
+    return outcomes.Done(attempt.status, attempt.headers, attempt.body)
+
+
+def _proves_not_run(response: UpstreamResponse) -> bool:
+    if response.status == MISDIRECTED:
+        return True
+    values = _header_values(response, RUN_HEADER)
+    # Contradicting headers prove nothing.
+    said_no = bool(values) and all(value.lower() == "no" for value in values)
+    return response.status in SHEDDING_STATUSES and said_no
+
+
+def _retry_after_ms(response: UpstreamResponse) -> float:
+    values = _header_values(response, "retry-after")
+    # A date in place of seconds needs a wall clock and is left out.
+    if not values or not (values[0].isascii() and values[0].isdigit()):
+        return 0.0
+    return int(values[0]) * 1_000.0
+
+
+def _header_values(response: UpstreamResponse, name: str) -> list[str]:
+    return [value.strip() for key, value in response.headers if key.lower() == name]
--- /dev/null
+++ b/src/wasabivalve/retries/core.py
@@ -0,0 +1,115 @@
+"""Decide whether and when a request gets another attempt."""
+
+import dataclasses
+import random
+from typing import NamedTuple
+
+from wasabivalve import outcomes
+
+BUDGET_SHARE = 0.1
+"""Retries per request over time; more would feed an overload."""
+
+BUDGET_CAPACITY = 10.0
+"""Retries that a quiet period may save up, also available at start."""
+
+BASE_DELAY_MS = 10.0
+LONGEST_DELAY_MS = 1_000.0
+MOST_ATTEMPTS = 5
+
+COMPLETED = "completed"
+MAY_HAVE_RUN = "may_have_run"
+NO_TIME = "deadline"
+NO_BUDGET = "retry_budget"
+TOO_MANY = "attempts"
+
+
+class AttemptedRequest(NamedTuple):
+    """Describe a request after an attempt.
+
+    ``attempts`` counts those that ended; ``deadline_at`` is in ms of the
+    monotonic clock; ``expected_ms`` is the expected time of one more attempt.
+    """
+
+    idempotent: bool
+    attempts: int
+    deadline_at: float
+    expected_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retry:
+    """Try again after a delay in ms."""
+
+    delay_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """Give the outcome to the caller."""
+
+    reason: str
+
+
+class RetryBudget:
+    """Allow retries up to a share of the requests."""
+
+    def __init__(
+        self, share: float = BUDGET_SHARE, capacity: float = BUDGET_CAPACITY
+    ) -> None:
+        self._share = share
+        self._capacity = capacity
+        self._tokens = capacity
+
+    @property
+    def tokens(self) -> float:
+        """Return the number of retries allowed now."""
+        return self._tokens
+
+    def on_request(self) -> None:
+        """Count the first attempt of a request."""
+        self._tokens = min(self._capacity, self._tokens + self._share)
+
+    def try_take(self) -> bool:
+        """Take one retry from the budget if it has one."""
+        # The margin absorbs the rounding error of repeated small additions.
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens = max(0.0, self._tokens - 1.0)
+        return True
+
+
+def backoff_ms(attempts: int, generator: random.Random) -> float:
+    """Return a random delay in ms below a limit that doubles per attempt.
+
+    The delay is uniform from 0, which spreads retries of one failure best.
+    tenacity's equivalent cannot take a random generator.
+    """
+    limit = BASE_DELAY_MS * 2.0 ** min(attempts, 32)
+    return generator.uniform(0.0, min(LONGEST_DELAY_MS, limit))
+
+
+def next_attempt(
+    outcome: outcomes.Outcome,
+    request: AttemptedRequest,
+    now: float,
+    budget: RetryBudget,
+    generator: random.Random,
+) -> Retry | Stop:
+    """Return a retry that the outcome, deadline and budget allow, or a stop.
+
+    A retry takes one token from the budget.
+    """
+    if isinstance(outcome, outcomes.Done):
+        return Stop(COMPLETED)
+    if isinstance(outcome, outcomes.Unknown) and not request.idempotent:
+        return Stop(MAY_HAVE_RUN)
+    if request.attempts >= MOST_ATTEMPTS:
+        return Stop(TOO_MANY)
+    delay = backoff_ms(request.attempts, generator)
+    if isinstance(outcome, outcomes.NotRun):
+        delay += outcome.retry_after_ms
+    if now + delay + request.expected_ms >= request.deadline_at:
+        return Stop(NO_TIME)
+    if not budget.try_take():
+        return Stop(NO_BUDGET)
+    return Retry(delay)
