Assemble the entry daemon: callers, permits, configuration and membership

Cause: the parts did not yet form a path from caller to upstream. Change: dispatcher and permit client over the peer bus, configuration follower, request path, WSGI front, membership actor, entry command.

--- /dev/null
+++ b/src/wasabivalve/entry/command.py
@@ -0,0 +1,42 @@
+"""Run the entry daemon from the command line."""
+
+import pathlib
+import signal
+import sys
+import threading
+
+import click
+
+from wasabivalve import events, settings
+
+from . import core
+
+EXIT_SETTINGS = 2
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    required=True,
+    help="Settings file in JSON.",
+)
+@click.option("--log-level", default="INFO", show_default=True, help="Least level.")
+@click.option("--log-json", is_flag=True, help="Write log events as JSON.")
+def entry(path: pathlib.Path, log_level: str, log_json: bool) -> None:
+    """Run one entry process until SIGTERM; exit with 2 for bad settings."""
+    events.configure(log_level, log_json)
+    loaded = settings.load(path)
+    if isinstance(loaded, settings.Rejected):
+        for finding in loaded.findings:
+            click.echo(str(finding), err=True)
+        sys.exit(EXIT_SETTINGS)
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    daemon = core.EntryDaemon(loaded.settings)
+    daemon.start()
+    click.echo("ready")
+    stopped.wait()
+    daemon.close()
--- /dev/null
+++ b/src/wasabivalve/entry/configuration.py
@@ -0,0 +1,110 @@
+"""Follow the configuration stream and hold the configuration in force."""
+
+import threading
+from collections.abc import Callable, Mapping
+
+from wasabivalve import events, platform_log, resources
+
+READ_WAIT_MS = 1_000.0
+FAILURE_PAUSE_MS = 200.0
+
+
+class Configuration:
+    """Replay configuration records; the view only moves to higher revisions."""
+
+    def __init__(
+        self,
+        keys_by_operator: Mapping[str, str],
+        on_change: Callable[[resources.View], None] = lambda view: None,
+    ):
+        self._keys_by_operator = keys_by_operator
+        self._on_change = on_change
+        self._lock = threading.Lock()
+        self._state = resources.EMPTY
+        self._view: resources.View | None = None
+
+    @property
+    def state(self) -> resources.ConfigurationState:
+        """Return the replayed state."""
+        return self._state
+
+    def view(self) -> resources.View | None:
+        """Return the configuration in force, None while none is proved."""
+        return self._view
+
+    def take(self, records: tuple[platform_log.LoggedRecord, ...]) -> None:
+        """Apply consecutive records; earlier ones are ignored."""
+        with self._lock:
+            before = self._state.revision
+            for offset, record in records:
+                if offset > self._state.next_offset and self._state.next_offset:
+                    # A relayed batch may start too late; the log follower fills it.
+                    break
+                applied = resources.apply(
+                    self._state, offset, record, self._keys_by_operator
+                )
+                self._state = applied.state
+            revision = self._state.revision
+            if revision == before and self._view is not None:
+                return
+            if revision == 0:
+                return
+            self._view = resources.view.build(self._state)
+            view = self._view
+        events.emit(500, revision=revision)
+        self._on_change(view)
+
+
+class LogFollower:
+    """Read one stream of the log on a thread and hand on its records."""
+
+    def __init__(
+        self,
+        client: platform_log.LogClient,
+        stream: str,
+        on_batch: Callable[[platform_log.ReadBatch], None],
+        on_gap: Callable[[platform_log.Gap], None],
+        on_availability: Callable[[bool], None] = lambda available: None,
+    ):
+        self._client = client
+        self._stream = stream
+        self._on_batch = on_batch
+        self._on_gap = on_gap
+        self._on_availability = on_availability
+        self._offset = 0
+        self._available = True
+        self._closing = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"log-{stream}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop the thread; it may take as long as one read."""
+        self._closing.set()
+
+    def _run(self) -> None:
+        while not self._closing.is_set():
+            result = self._client.read(self._stream, self._offset, READ_WAIT_MS)
+            self._note_availability(
+                not isinstance(result, platform_log.LogUnavailable), result
+            )
+            if isinstance(result, platform_log.ReadBatch):
+                self._offset = result.next_offset
+                self._on_batch(result)
+            elif isinstance(result, platform_log.Gap):
+                events.emit(202, stream=self._stream, offset=self._offset)
+                self._offset = result.oldest_offset
+                self._on_gap(result)
+            else:
+                self._closing.wait(FAILURE_PAUSE_MS / 1000)
+
+    def _note_availability(self, available: bool, result: object) -> None:
+        if available == self._available:
+            return
+        self._available = available
+        events.emit(201 if available else 200, stream=self._stream)
+        self._on_availability(available)
--- /dev/null
+++ b/src/wasabivalve/entry/control.py
@@ -0,0 +1,214 @@
+"""Run the control decisions of one entry process in an actor."""
+
+import threading
+import uuid
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import pykka
+
+from wasabivalve import events, membership, peers, routing
+from wasabivalve.schema import messages_generated, settings_generated
+
+from . import clock
+
+TICK_MS = 25.0
+
+
+class Tick(NamedTuple):
+    """Ask the actor to act on the time."""
+
+
+class Received(NamedTuple):
+    """Hand a message of a peer to the actor."""
+
+    incoming: peers.Incoming
+
+
+class Published(NamedTuple):
+    """Hold what the request path reads of control; never changed, only replaced."""
+
+    live_by_vm: dict[str, bool]
+    has_majority: bool
+    configuration_revision_by_vm: dict[str, int]
+    draining_vms: frozenset[str]
+    heard_at_by_vm: dict[str, float]
+
+
+class ControlActor(pykka.ThreadingActor):
+    """Own the membership view and publish immutable snapshots of it."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        settings: settings_generated.Settings,
+        bus: peers.Bus,
+        configuration_revision: Callable[[], int],
+        is_draining: Callable[[], bool],
+        on_publish: Callable[[Published], None],
+    ):
+        super().__init__()
+        self._vm = settings["vm"]
+        self._bus = bus
+        self._heartbeat_ms = settings["timing"]["heartbeat_ms"]
+        self._configuration_revision = configuration_revision
+        self._is_draining = is_draining
+        self._on_publish = on_publish
+        self._incarnation = uuid.uuid4().hex
+        self._sequence = 0
+        self._next_heartbeat = 0.0
+        self._revision_by_vm: dict[str, int] = {}
+        self._heard_at_by_vm: dict[str, float] = {}
+        self._draining_vms: frozenset[str] = frozenset()
+        timing = membership.Timing(
+            heartbeat_ms=self._heartbeat_ms,
+            suspect_ms=settings["timing"]["suspect_ms"],
+        )
+        names = [peer["vm"] for peer in settings["peers"]]
+        self._membership = membership.MembershipView(
+            self._vm, names, timing, clock.monotonic_ms()
+        )
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message of the actor."""
+        if isinstance(message, Tick):
+            self._tick()
+        elif isinstance(message, Received):
+            self._receive(message.incoming)
+
+    def on_failure(
+        self,
+        exception_type: type[BaseException] | None,
+        exception_value: BaseException | None,
+        traceback: Any,
+    ) -> None:
+        """Log the exception that ended the actor."""
+        events.emit(5, error=repr(exception_value), actor="control")
+
+    def _tick(self) -> None:
+        now = clock.monotonic_ms()
+        if now >= self._next_heartbeat:
+            self._next_heartbeat = now + self._heartbeat_ms
+            self._send_heartbeats()
+        for action in self._membership.tick(now):
+            self._act(action)
+        self._publish(now)
+
+    def _act(self, action: membership.Action) -> None:
+        if isinstance(action, membership.Change):
+            events.emit(101 if action.live else 102, vm=action.vm, reason=action.reason)
+        elif isinstance(action, membership.Probe):
+            self._bus.send(
+                action.via,
+                "probe",
+                {"vm": self._vm, "target": action.target, "sequence": action.sequence},
+            )
+        else:
+            self._send_probe_reply(
+                action.to, action.target, membership.NOTICE_SEQUENCE, action.alive
+            )
+
+    def _receive(self, incoming: peers.Incoming) -> None:
+        now = clock.monotonic_ms()
+        message = incoming.message
+        if incoming.kind == "heartbeat":
+            self._on_heartbeat(incoming.sender, message, now)
+        elif incoming.kind == "probe":
+            alive = self._membership.answer_probe(message["target"], now)
+            self._send_probe_reply(
+                incoming.sender, message["target"], message["sequence"], alive
+            )
+        elif incoming.kind == "probe_reply":
+            self._membership.on_probe_reply(
+                incoming.sender,
+                message["target"],
+                message["sequence"],
+                message["alive"],
+                now,
+            )
+
+    def _on_heartbeat(
+        self, sender: str, message: messages_generated.Heartbeat, now: float
+    ) -> None:
+        self._membership.on_heartbeat(sender, message["incarnation"], now)
+        self._revision_by_vm[sender] = message["configuration_revision"]
+        self._heard_at_by_vm[sender] = now
+        if message["draining"]:
+            self._draining_vms |= {sender}
+        else:
+            self._draining_vms -= {sender}
+
+    def _send_heartbeats(self) -> None:
+        self._sequence += 1
+        heartbeat: messages_generated.Heartbeat = {
+            "vm": self._vm,
+            "incarnation": self._incarnation,
+            "sequence": self._sequence,
+            "configuration_revision": self._configuration_revision(),
+            "control_offset": 0,
+            "draining": self._is_draining(),
+        }
+        for vm in self._membership.heartbeat_targets:
+            self._bus.send(vm, "heartbeat", heartbeat)
+
+    def _send_probe_reply(
+        self, to: str, target: str, sequence: int, alive: bool
+    ) -> None:
+        reply = {"target": target, "sequence": sequence, "alive": alive}
+        self._bus.send(to, "probe_reply", reply)
+
+    def _publish(self, now: float) -> None:
+        self._on_publish(
+            Published(
+                self._membership.live_by_name,
+                self._membership.has_majority(now),
+                {
+                    **self._revision_by_vm,
+                    self._vm: self._configuration_revision(),
+                },
+                self._draining_vms,
+                dict(self._heard_at_by_vm),
+            )
+        )
+
+
+class Ticker:
+    """Send ticks to an actor and run other periodic work on a thread."""
+
+    def __init__(self, work: Callable[[], None], interval_ms: float):
+        self._work = work
+        self._interval_s = interval_ms / 1000
+        self._closing = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="ticker", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop the thread."""
+        self._closing.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._closing.wait(self._interval_s):
+            self._work()
+
+
+def place_by_live_vm(
+    settings: settings_generated.Settings, published: Published
+) -> dict[str, routing.Place]:
+    """Return the places of the live VMs that are not draining."""
+    region_by_data_centre = {
+        data_centre: region
+        for region, names in settings["regions"].items()
+        for data_centre in names
+    }
+    data_centre_by_vm = {peer["vm"]: peer["data_centre"] for peer in settings["peers"]}
+    data_centre_by_vm[settings["vm"]] = settings["data_centre"]
+    return {
+        vm: routing.Place(data_centre, region_by_data_centre.get(data_centre, ""))
+        for vm, data_centre in data_centre_by_vm.items()
+        if published.live_by_vm.get(vm) and vm not in published.draining_vms
+    }
--- /dev/null
+++ b/src/wasabivalve/entry/http_front.py
@@ -0,0 +1,140 @@
+"""Serve callers over HTTP."""
+
+import threading
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import waitress.server
+
+from wasabivalve import events, outcomes
+from wasabivalve.schema import settings_generated
+
+from . import caller_request
+
+# An idle or slow sender holds no thread, only a connection, for this long.
+CHANNEL_TIMEOUT_S = 30
+CONNECTION_LIMIT = 2_000
+OWN_PREFIX = "/-/"
+
+Serve = Callable[
+    [caller_request.CallerRequest], outcomes.Outcome | caller_request.Problem
+]
+
+
+class HttpFront:
+    """Accept the requests of callers until closed."""
+
+    def __init__(
+        self,
+        settings: settings_generated.Settings,
+        serve: Serve,
+        document_by_path: Mapping[str, Callable[[], Any]],
+        is_ready: Callable[[], bool],
+    ):
+        self._settings = settings
+        self._limits = settings["limits"]
+        self._serve = serve
+        self._document_by_path = document_by_path
+        self._is_ready = is_ready
+        self._draining = False
+        self._in_flight = 0
+        self._idle = threading.Condition()
+
+    def start(self) -> None:
+        """Listen and start the thread; raise OSError when the port is taken."""
+        callers = self._settings["callers"]
+        self._server = waitress.server.create_server(
+            self._application,
+            host=callers["host"],
+            port=callers["port"],
+            threads=self._limits["threads"],
+            max_request_header_size=self._limits["header_bytes"],
+            max_request_body_size=self._limits["body_bytes"],
+            channel_timeout=CHANNEL_TIMEOUT_S,
+            connection_limit=CONNECTION_LIMIT,
+            ident=None,
+            clear_untrusted_proxy_headers=True,
+        )
+        self._thread = threading.Thread(
+            target=self._server.run, name="http-front", daemon=True
+        )
+        self._thread.start()
+
+    def drain(self, timeout_ms: float) -> bool:
+        """Tell the balancer to leave and wait until no request is in flight.
+
+        Requests that still arrive are served, with ``Connection: close``.
+        """
+        self._draining = True
+        with self._idle:
+            return self._idle.wait_for(lambda: self._in_flight == 0, timeout_ms / 1000)
+
+    def close(self) -> None:
+        """Stop listening and end the threads."""
+        self._server.close()
+        self._server.task_dispatcher.shutdown()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests in flight."""
+        return self._in_flight
+
+    def _application(
+        self, environ: dict[str, Any], start_response: caller_request.StartResponse
+    ) -> list[bytes]:
+        path = environ["PATH_INFO"]
+        if path.startswith(OWN_PREFIX):
+            return self._answer_own(path, start_response)
+        with self._idle:
+            self._in_flight += 1
+        try:
+            return self._answer(environ, self._closing_start(start_response))
+        except Exception as error:
+            # The request may have reached an upstream before the exception.
+            events.emit(5, error=repr(error))
+            problem = caller_request.Problem(500, "unknown", "internal error")
+            return caller_request.write_problem(problem, start_response)
+        finally:
+            with self._idle:
+                self._in_flight -= 1
+                self._idle.notify_all()
+
+    def _closing_start(
+        self, start_response: caller_request.StartResponse
+    ) -> caller_request.StartResponse:
+        if not self._draining:
+            return start_response
+
+        def start(status: str, headers: list[tuple[str, str]]) -> Any:
+            return start_response(status, [*headers, ("Connection", "close")])
+
+        return start
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: caller_request.StartResponse
+    ) -> list[bytes]:
+        request = caller_request.read(environ, self._limits["request_ms"])
+        if not isinstance(request, caller_request.CallerRequest):
+            reason = "; ".join(f"{row.path}: {row.problem}" for row in request)
+            problem = caller_request.Problem(400, "not-run", reason)
+            return caller_request.write_problem(problem, start_response)
+        result = self._serve(request)
+        if isinstance(result, outcomes.Done):
+            return caller_request.write_done(result, start_response)
+        if not isinstance(result, caller_request.Problem):
+            result = caller_request.problem_of_outcome(result)
+        return caller_request.write_problem(result, start_response)
+
+    def _answer_own(
+        self, path: str, start_response: caller_request.StartResponse
+    ) -> list[bytes]:
+        if path == "/-/ready":
+            if self._is_ready() and not self._draining:
+                return caller_request.write_json({"ready": True}, start_response)
+            problem = caller_request.Problem(503, "not-run", "not ready", 1_000.0)
+            return caller_request.write_problem(problem, start_response)
+        document = self._document_by_path.get(path)
+        if document is None:
+            problem = caller_request.Problem(404, "not-run", f"no page {path!r}")
+            return caller_request.write_problem(problem, start_response)
+        return caller_request.write_json(document(), start_response)
--- /dev/null
+++ b/src/wasabivalve/entry/owners.py
@@ -0,0 +1,41 @@
+"""Hold the newest owner tables and let requests wait for a change."""
+
+import threading
+
+from wasabivalve import routing
+from wasabivalve.schema import messages_generated
+
+
+class OwnerTables:
+    """Hold one owner table per shard; safe to use from threads."""
+
+    def __init__(self) -> None:
+        self._condition = threading.Condition()
+        self._table_by_shard: dict[str, routing.OwnerTable] = {}
+
+    def publish(self, message: messages_generated.OwnerTable) -> bool:
+        """Take in a table; return whether it is newer than the one held."""
+        if routing.find_problems(message):
+            return False
+        with self._condition:
+            current = self._table_by_shard.get(message["shard"])
+            table = routing.newest(current, message)
+            if table is current:
+                return False
+            self._table_by_shard[message["shard"]] = table
+            self._condition.notify_all()
+            return True
+
+    def find(self, shard: str) -> routing.OwnerTable | None:
+        """Return the newest table of a shard, if any."""
+        return self._table_by_shard.get(shard)
+
+    def wait_for_change(
+        self, shard: str, seen: routing.OwnerTable | None, timeout_ms: float
+    ) -> None:
+        """Wait until the table of a shard is another than the one seen."""
+        with self._condition:
+            self._condition.wait_for(
+                lambda: self._table_by_shard.get(shard) is not seen,
+                timeout_ms / 1000,
+            )
--- /dev/null
+++ b/src/wasabivalve/entry/permits.py
@@ -0,0 +1,152 @@
+"""Obtain permits from the dispatchers of instances."""
+
+import dataclasses
+import threading
+import uuid
+from collections.abc import Callable, Mapping
+from concurrent import futures
+from typing import NamedTuple
+
+from wasabivalve import peers, routing
+from wasabivalve.schema import messages_generated
+
+from . import clock, dispatch
+
+# Travel time of both messages across regions, 2 * 20 ms, and a busy dispatcher.
+REPLY_MARGIN_MS = 150.0
+# Dispatchers tried before the request goes on without a permit.
+MOST_DISPATCHERS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """Carry a slot of an instance and the VM that granted it."""
+
+    permit_id: str
+    instance: dispatch.InstanceName
+    dispatcher: str
+    granted_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoPermit:
+    """State that there is no slot and the request was not run."""
+
+    reason: str
+    retry_after_ms: float
+
+
+class SlotDemand(NamedTuple):
+    """Describe a request that needs a slot; ``deadline_at`` in monotonic ms."""
+
+    rank: str
+    deadline_at: float
+    body_bytes: int
+    longest_wait_ms: float
+    alone: bool = False
+
+
+class Permits:
+    """Ask dispatchers for permits and return them."""
+
+    def __init__(
+        self,
+        vm: str,
+        bus: peers.Bus,
+        dispatcher: dispatch.Dispatcher,
+        place_by_live_vm: Callable[[], Mapping[str, routing.Place]],
+    ):
+        self._vm = vm
+        self._bus = bus
+        self._dispatcher = dispatcher
+        self._place_by_live_vm = place_by_live_vm
+
+    def acquire(
+        self,
+        instance: dispatch.InstanceName,
+        place: routing.Place,
+        demand: SlotDemand,
+    ) -> Permit | NoPermit:
+        """Return a permit, or the reason why there is none."""
+        order = routing.rank_dispatchers(str(instance), place, self._place_by_live_vm())
+        reason = "no dispatcher is live"
+        for dispatcher_vm in order[:MOST_DISPATCHERS]:
+            answer = self._ask(dispatcher_vm, instance, demand)
+            if isinstance(answer, Permit):
+                return answer
+            if answer is not None:
+                return answer
+            reason = f"dispatcher {dispatcher_vm} did not reply"
+        return NoPermit(reason, 0.0)
+
+    def release(self, permit: Permit, outcome: str) -> None:
+        """Return a permit; the outcome is ``done``, ``failed`` or ``cancel``."""
+        message: messages_generated.PermitRelease = {
+            "permit_id": permit.permit_id,
+            "instance": str(permit.instance),
+            "duration_ms": clock.monotonic_ms() - permit.granted_at,
+            "outcome": outcome,
+        }
+        if permit.dispatcher == self._vm:
+            self._dispatcher.release(message, clock.monotonic_ms())
+        else:
+            self._bus.send(permit.dispatcher, "permit_release", message)
+
+    def _ask(
+        self, dispatcher_vm: str, instance: dispatch.InstanceName, demand: SlotDemand
+    ) -> Permit | NoPermit | None:
+        now = clock.monotonic_ms()
+        left_ms = demand.deadline_at - now
+        if left_ms <= 0:
+            return NoPermit("deadline", 0.0)
+        message: messages_generated.PermitRequest = {
+            "permit_id": uuid.uuid4().hex,
+            "service": instance.service,
+            "instance": instance.instance,
+            "rank": demand.rank,
+            "deadline_ms": left_ms,
+            "body_bytes": demand.body_bytes,
+            "alone": demand.alone,
+        }
+        wait_ms = min(left_ms, demand.longest_wait_ms + REPLY_MARGIN_MS)
+        reply = self._exchange(dispatcher_vm, message, wait_ms)
+        permit = Permit(
+            message["permit_id"], instance, dispatcher_vm, clock.monotonic_ms()
+        )
+        if reply is None:
+            # The grant may be on its way; the slot must not stay taken.
+            self.release(permit, "cancel")
+            return None
+        if not reply["granted"]:
+            return NoPermit(reply["reason"], reply["retry_after_ms"])
+        return permit
+
+    def _exchange(
+        self,
+        dispatcher_vm: str,
+        message: messages_generated.PermitRequest,
+        wait_ms: float,
+    ) -> messages_generated.PermitReply | None:
+        if dispatcher_vm == self._vm:
+            return self._exchange_locally(message, wait_ms)
+        future = self._bus.request(dispatcher_vm, "permit_request", message)
+        try:
+            reply: messages_generated.PermitReply = future.result(wait_ms / 1000)
+        except futures.TimeoutError:
+            self._bus.forget(future)
+            return None
+        return reply
+
+    def _exchange_locally(
+        self, message: messages_generated.PermitRequest, wait_ms: float
+    ) -> messages_generated.PermitReply | None:
+        replies: list[messages_generated.PermitReply] = []
+        replied = threading.Event()
+
+        def reply(answer: messages_generated.PermitReply) -> None:
+            replies.append(answer)
+            replied.set()
+
+        self._dispatcher.request(message, reply, clock.monotonic_ms())
+        replied.wait(wait_ms / 1000)
+        return replies[0] if replies else None
--- /dev/null
+++ b/src/wasabivalve/entry/request_path.py
@@ -0,0 +1,241 @@
+"""Carry a request from its caller to an instance and back."""
+
+import random
+import time
+import uuid
+from collections.abc import Callable
+from typing import NamedTuple
+
+from wasabivalve import outcomes, resources, retries, routing
+from wasabivalve.schema import settings_generated
+
+from . import caller_request, clock, dispatch, owners, permits, upstream_client
+
+# Longest wait for another owner before the table is looked at again.
+OWNER_WAIT_MS = 50.0
+
+
+class Route(NamedTuple):
+    """Name the instance for an attempt and the token of its grant."""
+
+    instance: resources.Instance
+    token: str
+    table: routing.OwnerTable | None
+
+
+class Prepared(NamedTuple):
+    """Carry a checked request with its service and rank."""
+
+    request: caller_request.CallerRequest
+    service: resources.Service
+    rank: resources.Rank
+    idempotent: bool
+    deadline_at: float
+
+
+class Parts(NamedTuple):
+    """Gather what the request path uses."""
+
+    settings: settings_generated.Settings
+    view: Callable[[], resources.View | None]
+    owners: owners.OwnerTables
+    permits: permits.Permits
+    client: upstream_client.UpstreamClient
+    generator: random.Random
+
+
+class RequestPath:
+    """Serve requests; safe to use from threads."""
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        self._observations = routing.Observations()
+        self._budget = retries.RetryBudget()
+        self._region_by_data_centre = {
+            data_centre: region
+            for region, names in parts.settings["regions"].items()
+            for data_centre in names
+        }
+        self._origin = self.place(parts.settings["data_centre"])
+
+    def place(self, data_centre: str) -> routing.Place:
+        """Return the place of a data centre."""
+        region = self._region_by_data_centre.get(data_centre, "")
+        return routing.Place(data_centre, region)
+
+    def prepare(
+        self, request: caller_request.CallerRequest
+    ) -> Prepared | caller_request.Problem:
+        """Check a request against the configuration."""
+        view = self._parts.view()
+        if view is None:
+            return caller_request.Problem(
+                503, "not-run", "no configuration is proved", 1_000.0
+            )
+        service = view.service_by_name.get(request.service)
+        if service is None:
+            reason = f"service {request.service!r} is not declared"
+            return caller_request.Problem(404, "not-run", reason)
+        rank = _find_rank(view, request.rank)
+        if rank is None:
+            reason = f"rank {request.rank!r} is not declared"
+            return caller_request.Problem(400, "not-run", reason)
+        idempotent = request.method in service.idempotent_methods
+        if service.divided_by_key and not request.key:
+            reason = f"service {service.name!r} needs a Wasabivalve-Key header"
+            return caller_request.Problem(400, "not-run", reason)
+        if not idempotent and not request.idempotency_key:
+            reason = f"method {request.method} needs an Idempotency-Key header"
+            return caller_request.Problem(400, "not-run", reason)
+        deadline_at = clock.monotonic_ms() + request.deadline_ms
+        return Prepared(request, service, rank, idempotent, deadline_at)
+
+    def run(self, prepared: Prepared) -> outcomes.Outcome:
+        """Try a request until an outcome is final."""
+        self._budget.on_request()
+        attempts = 0
+        while True:
+            attempt = self._attempt(prepared)
+            outcome = attempt.outcome
+            if attempt.stale_owner and clock.monotonic_ms() < prepared.deadline_at:
+                # A move in progress: the owner table decides, not the budget.
+                continue
+            attempts += 1
+            attempted = retries.AttemptedRequest(
+                prepared.idempotent, attempts, prepared.deadline_at
+            )
+            decision = retries.next_attempt(
+                outcome,
+                attempted,
+                clock.monotonic_ms(),
+                self._budget,
+                self._parts.generator,
+            )
+            if isinstance(decision, retries.Stop):
+                return outcome
+            time.sleep(decision.delay_ms / 1000)
+
+    def _attempt(self, prepared: Prepared) -> upstream_client.Attempt:
+        route = self._route(prepared)
+        if route is None:
+            return _not_run("no instance owns the key or is available")
+        name = dispatch.InstanceName(prepared.service.name, route.instance.name)
+        permit = self._parts.permits.acquire(
+            name, self.place(route.instance.data_centre), _demand(prepared)
+        )
+        if isinstance(permit, permits.NoPermit):
+            return _not_run(permit.reason, permit.retry_after_ms)
+        attempt = self._send(prepared, route, str(name))
+        done = isinstance(attempt.outcome, outcomes.Done)
+        self._parts.permits.release(permit, "done" if done else "failed")
+        if attempt.stale_owner:
+            self._wait_for_owner(prepared, route.table)
+        return attempt
+
+    def _send(
+        self, prepared: Prepared, route: Route, name: str
+    ) -> upstream_client.Attempt:
+        request = prepared.request
+        self._observations.on_start(name, clock.monotonic_ms())
+        attempt = self._parts.client.send(
+            upstream_client.UpstreamRequest(
+                upstream_client.Address(route.instance.host, route.instance.port),
+                request.method,
+                request.target,
+                _upstream_headers(request),
+                request.body,
+                uuid.uuid4().hex,
+                route.token,
+                max(1.0, prepared.deadline_at - clock.monotonic_ms()),
+            )
+        )
+        self._observations.on_finish(
+            name,
+            attempt.duration_ms,
+            not isinstance(attempt.outcome, outcomes.Done),
+            clock.monotonic_ms(),
+        )
+        return attempt
+
+    def _route(self, prepared: Prepared) -> Route | None:
+        if prepared.service.divided_by_key:
+            return self._route_to_owner(prepared)
+        return self._route_to_any(prepared)
+
+    def _route_to_owner(self, prepared: Prepared) -> Route | None:
+        shard = shard_of(prepared.service.name)
+        while True:
+            table = self._parts.owners.find(shard)
+            owner = table.owner_of(prepared.request.key) if table else None
+            if owner is not None:
+                for instance in prepared.service.instances:
+                    if instance.name == owner.server:
+                        token = "/".join(str(part) for part in owner.token)
+                        return Route(instance, token, table)
+            if clock.monotonic_ms() >= prepared.deadline_at:
+                return None
+            self._wait_for_owner(prepared, table)
+
+    def _wait_for_owner(
+        self, prepared: Prepared, seen: routing.OwnerTable | None
+    ) -> None:
+        left_ms = prepared.deadline_at - clock.monotonic_ms()
+        self._parts.owners.wait_for_change(
+            shard_of(prepared.service.name), seen, min(OWNER_WAIT_MS, max(0.0, left_ms))
+        )
+
+    def _route_to_any(self, prepared: Prepared) -> Route | None:
+        view = self._parts.view()
+        drained = view.drained_instances if view else frozenset()
+        service = prepared.service
+        instance_by_name = {
+            str(dispatch.InstanceName(service.name, instance.name)): instance
+            for instance in service.instances
+            if (service.name, instance.name) not in drained
+        }
+        chosen = routing.choose_instance(
+            self._origin,
+            {
+                name: self.place(instance.data_centre)
+                for name, instance in instance_by_name.items()
+            },
+            self._observations,
+            self._parts.generator,
+            clock.monotonic_ms(),
+            most_in_flight=service.slots,
+        )
+        return Route(instance_by_name[chosen], "", None) if chosen else None
+
+
+def shard_of(service: str) -> str:
+    """Return the shard of a service; each service has one today."""
+    return f"{service}/0"
+
+
+def _find_rank(view: resources.View, name: str) -> resources.Rank | None:
+    if name:
+        return view.rank_by_name.get(name)
+    # A request without a rank is the least urgent.
+    ranks = sorted(view.rank_by_name.values(), key=lambda rank: rank.order)
+    return ranks[-1] if ranks else None
+
+
+def _demand(prepared: Prepared) -> permits.SlotDemand:
+    return permits.SlotDemand(
+        prepared.rank.name,
+        prepared.deadline_at,
+        len(prepared.request.body),
+        float(prepared.rank.queue_age_ms),
+    )
+
+
+def _upstream_headers(
+    request: caller_request.CallerRequest,
+) -> tuple[tuple[str, str], ...]:
+    if not request.key:
+        return request.headers
+    return (*request.headers, ("Wasabivalve-Key", request.key))
+
+
+def _not_run(reason: str, retry_after_ms: float = 0.0) -> upstream_client.Attempt:
+    return upstream_client.Attempt(outcomes.NotRun(reason, retry_after_ms), 0.0)
