Add the stand-in of the log service

Cause: tests and demonstrations need a log service with outages, slow periods, lost responses and retention. Conclusion: failures of the log can be tried over real connections.

--- /dev/null
+++ b/src/wasabivalve/stand_ins/replies.py
@@ -0,0 +1,80 @@
+"""Build JSON responses and read JSON requests of the stand-ins."""
+
+import dataclasses
+from typing import Any, TypeVar
+
+import msgspec
+
+from . import http_server
+
+FaultsT = TypeVar("FaultsT")
+DocumentT = TypeVar("DocumentT")
+
+
+class BadRequest(Exception):
+    """Request that the stand-in answers with status 400 and this text."""
+
+
+def json_response(
+    document: Any, status: int = 200, headers: tuple[tuple[str, str], ...] = ()
+) -> http_server.Response:
+    """Return a response with a JSON body."""
+    body = msgspec.json.encode(document)
+    return http_server.Response(status, body, (http_server.JSON_TYPE, *headers))
+
+
+def error_response(
+    status: int, problem: str, headers: tuple[tuple[str, str], ...] = ()
+) -> http_server.Response:
+    """Return a response that names a problem."""
+    return json_response({"error": problem}, status, headers)
+
+
+def decode_body(body: bytes, document_type: type[DocumentT]) -> DocumentT:
+    """Decode a JSON body; raise BadRequest when it does not fit the type."""
+    try:
+        return msgspec.json.decode(body, type=document_type)
+    except (ValueError, RecursionError) as error:
+        raise BadRequest(f"body: {error}") from error
+
+
+def read_number(
+    query: dict[str, str], name: str, default: float, largest: float
+) -> float:
+    """Return a number from a query; raise BadRequest unless 0 to ``largest``."""
+    text = query.get(name)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise BadRequest(f"{name}: {text!r} is not a number") from error
+    # A comparison with NaN is false, so NaN is refused as well.
+    if not 0 <= value <= largest:
+        raise BadRequest(f"{name}: {text!r} is not from 0 to {largest:g}")
+    return value
+
+
+def read_integer(query: dict[str, str], name: str, default: int, largest: int) -> int:
+    """Return an integer from a query; raise BadRequest unless 0 to ``largest``."""
+    text = query.get(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit() and len(text) <= len(str(largest))):
+        raise BadRequest(f"{name}: {text!r} is not an integer from 0 to {largest}")
+    value = int(text)
+    if value > largest:
+        raise BadRequest(f"{name}: {text!r} is above {largest}")
+    return value
+
+
+def update_faults(current: FaultsT, changes: dict[str, Any]) -> FaultsT:
+    """Return faults with some fields changed; raise BadRequest for a wrong one."""
+    names = {field.name for field in dataclasses.fields(current)}  # type: ignore[arg-type]
+    if unknown := sorted(changes.keys() - names):
+        raise BadRequest(f"unknown faults {unknown}; known are {sorted(names)}")
+    merged = dataclasses.asdict(current) | changes  # type: ignore[call-overload]
+    try:
+        return msgspec.convert(merged, type(current))
+    except ValueError as error:
+        raise BadRequest(f"faults: {error}") from error
--- /dev/null
+++ b/src/wasabivalve/stand_ins/tests/test_log_service.py
@@ -0,0 +1,131 @@
+"""Guard the log service's protocol, retention and faults."""
+
+import concurrent.futures
+import contextlib
+import json
+
+import pytest
+import urllib3
+
+from wasabivalve import platform_log, stand_ins
+from wasabivalve.stand_ins import log_service
+
+
+@contextlib.contextmanager
+def running(timeout_ms=5000.0, **options):
+    service = stand_ins.LogService(**options)
+    service.start()
+    client = platform_log.LogClient(service.url, timeout_ms)
+    try:
+        yield service, client
+    finally:
+        client.close()
+        service.close()
+
+
+def test_append_and_read():
+    """Readers would otherwise see other offsets than the appender."""
+    with running() as (_, client):
+        assert client.append("control", [{"n": 1}, {"n": 2}]).first_offset == 0
+        assert client.append("control", [{"n": 2**64}]).first_offset == 2
+        batch = client.read("control", 1)
+        assert batch.records == ((1, {"n": 2}), (2, {"n": 2**64}))
+        assert client.read("control", 0, limit=1).next_offset == 1
+        assert client.read("other", 0) == platform_log.ReadBatch((), 0, 0)
+
+
+def test_long_poll_ends_with_the_append():
+    """A reader would otherwise learn of a record only after the poll."""
+    with running() as (_, client), concurrent.futures.ThreadPoolExecutor() as pool:
+        reads = [pool.submit(client.read, "control", 0, 30_000.0) for _ in range(4)]
+        client.append("control", [{"n": 1}])
+        for read in reads:
+            assert read.result(timeout=20).next_offset == 1
+
+
+def test_long_polls_leave_threads_for_appends():
+    """Readers that wait would otherwise block every append."""
+    polls = log_service.THREADS + 20
+    with (
+        running() as (_, client),
+        concurrent.futures.ThreadPoolExecutor(polls) as pool,
+    ):
+        reads = [pool.submit(client.read, "control", 0, 30_000.0) for _ in range(polls)]
+        # Polls beyond the limit are answered at once, so all others then wait.
+        beyond = polls - (log_service.THREADS - log_service.SPARE_THREADS)
+        ended = concurrent.futures.as_completed(reads, timeout=20)
+        assert all(next(ended).result().records == () for _ in range(beyond))
+        assert isinstance(client.append("control", [{"n": 1}]), platform_log.Appended)
+        assert all(read.result(timeout=20) for read in reads)
+
+
+def test_retention_leaves_a_gap():
+    """A reader that fell behind would otherwise miss records unnoticed."""
+    now = [0.0]
+    retention = stand_ins.Retention(records=2, age_ms=1000.0)
+    with running(retention=retention, clock=lambda: now[0]) as (_, client):
+        client.append("control", [{"n": n} for n in range(5)])
+        assert client.read("control", 2) == platform_log.Gap(3)
+        now[0] = 1.5
+        assert client.read("control", 3) == platform_log.Gap(5)
+        assert client.read("control", 5).oldest_offset == 5
+
+
+def test_outage_refuses_and_has_no_effect():
+    """A client would take the refusal as proof that nothing was appended."""
+    with running() as (service, client):
+        service.set_faults(outage="refuse")
+        assert isinstance(client.append("control", [{}]), platform_log.LogUnavailable)
+        assert isinstance(client.read("control", 0), platform_log.LogUnavailable)
+        service.set_faults(outage="none")
+        assert client.append("control", [{}]).first_offset == 0
+
+
+def test_hanging_outage_is_ended_over_http():
+    """A separate process must be able to end an outage that it started."""
+    with running(timeout_ms=200.0) as (service, client):
+        service.set_faults(outage="hang")
+        for _ in range(3):
+            assert isinstance(
+                client.append("control", [{}]), platform_log.AppendUnknown
+            )
+        reply = urllib3.request(
+            "POST", f"{service.url}/faults", json={"outage": "none"}, retries=False
+        )
+        assert reply.json()["outage"] == "none"
+        assert client.append("control", [{}]).first_offset == 0
+
+
+def test_lost_answer_is_resolved_to_one_copy():
+    """An append whose response was lost took effect and must not be repeated."""
+    with running() as (service, client):
+        service.set_faults(lost_answers=1)
+        result = platform_log.append_certainly(
+            client, "control", [{"record_id": "a"}], read_from=0, deadline_ms=60_000
+        )
+        assert result == platform_log.AppendProved({"a": 0})
+        assert service.records("control") == ({"record_id": "a"},)
+
+
+def test_close_ends_waiting_requests():
+    """A stop would otherwise wait for the longest poll."""
+    with (
+        running() as (service, client),
+        concurrent.futures.ThreadPoolExecutor() as pool,
+    ):
+        read = pool.submit(client.read, "control", 0, 30_000.0)
+        service.close()
+        assert read.result(timeout=20)
+
+
+@pytest.mark.parametrize(
+    "changes", [{"outage": "maybe"}, {"append_latency_ms": -1}, {"unknown": 1}, []]
+)
+def test_wrong_faults_are_named(changes):
+    """A misspelt fault would otherwise leave a trial without its failure."""
+    with running() as (service, _):
+        reply = urllib3.request(
+            "POST", f"{service.url}/faults", body=json.dumps(changes), retries=False
+        )
+        assert reply.status == 400
+        assert reply.json()["error"]
