Replay the control stream

Cause: every controller must derive the same groups, terms and lists from the log, and a reader that missed records must not act.

Promise messages carry the shard revision, so that a controller which is behind on the log learns that a later assignment is in use.

--- a/src/wasabivalve/schema/messages_generated.py
+++ b/src/wasabivalve/schema/messages_generated.py
@@ -82,6 +82,7 @@
     position: int
     sent_at: float
     claim: bool
+    revision: int
 
 
 class PromiseReply(TypedDict):
@@ -97,6 +98,7 @@
     term: int
     position: int
     reason: str
+    revision: int
 
 
 class RangeOwner(TypedDict):
--- a/src/wasabivalve/schema/records_generated.py
+++ b/src/wasabivalve/schema/records_generated.py
@@ -8,19 +8,6 @@
 RecordsOnTheLog: TypeAlias = Any
 
 
-class GroupChange(TypedDict):
-    """
-    Add or remove one VM of the promise group of a shard.
-    """
-
-    kind: Literal["group_change"]
-    record_id: str
-    shard: str
-    group_revision: int
-    add: list[str]
-    remove: list[str]
-
-
 class GroupReset(TypedDict):
     """
     Replace the whole promise group when no majority is left.
@@ -93,6 +80,20 @@
     position: int
 
 
+class GroupChange(TypedDict):
+    """
+    Add or remove one VM of the promise group of a shard.
+    """
+
+    kind: Literal["group_change"]
+    record_id: str
+    shard: str
+    group_revision: int
+    add: list[str]
+    remove: list[str]
+    endorsements: list[Endorsement]
+
+
 class TermClaim(TypedDict):
     """
     Start a term of control over a shard.
@@ -135,6 +136,8 @@
     revision: int
     ranges: list[RangeServers]
     exceptions: list[KeyServers]
+    reset_offset: int
+    former_servers: list[str]
 
 
 class BurnSummary(TypedDict):
