Add the recorder and the report of error-budget burn

Cause: operators need the burn of each service and rank over several windows, and the loss of a VM's data must not look like health.

Change: burn.BurnWindow counts results and latencies by service, rank and interval; burn.merge sums the summaries of all VMs and their coverage in seconds; burn.report computes burn rates over 5 min, 1 h, 6 h and 3 d, the budget left and the worst hour. A window that lacks a VM-interval is never shown as healthy. render_table, render_json and render_html show the report; the page loads no external resource.

--- /dev/null
+++ b/src/wasabivalve/burn/rendering.py
@@ -0,0 +1,141 @@
+"""Render a burn report as text or JSON."""
+
+import datetime
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from . import budget
+
+SHOWN_MISSING = 12
+
+
+def render_table(report: budget.Report) -> str:
+    """Return the report as a text table that lists the missing VM-intervals."""
+    header = ["SERVICE", "RANK", "OBJECTIVE"]
+    header += list(budget.NAME_BY_WINDOW_S.values())
+    header += ["BUDGET LEFT", "WORST HOUR", "P99 MS", "STATE"]
+    lines = align([header, *(_cells(row) for row in report.rows)])
+    lines.append("")
+    lines += missing_lines(report)
+    return "\n".join(lines) + "\n"
+
+
+def render_json(report: budget.Report) -> str:
+    """Return the report as a JSON object."""
+    document = {
+        "now": time_text(report.now_s),
+        "end": time_text(report.end_s),
+        "objectives": [_row_document(row) for row in report.rows],
+        "missing": [row._asdict() for row in report.missing],
+        "expected_intervals": report.expected_intervals,
+        "expected_vms": report.expected_vms,
+        "unexpected_vms": report.unexpected_vms,
+        "ignored_records": report.ignored_records,
+        "unreadable_histograms": report.unreadable_histograms,
+    }
+    return json.dumps(document, indent=2) + "\n"
+
+
+def align(rows: Sequence[Sequence[str]]) -> list[str]:
+    """Return lines whose columns are padded to one width."""
+    widths = [max(len(cell) for cell in column) for column in zip(*rows, strict=True)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    ]
+
+
+def time_text(time_s: int) -> str:
+    """Return a Unix time in seconds as RFC 3339 in UTC."""
+    moment = datetime.datetime.fromtimestamp(time_s, tz=datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def rate_text(rate: float | None, missing: int, expected: int) -> str:
+    """Return a burn rate, with the number of VM-intervals that are missing."""
+    if missing and rate is None:
+        return f"missing {missing}/{expected}"
+    shown = "idle" if rate is None else f"{rate:.2f}"
+    return f"{shown} (missing {missing}/{expected})" if missing else shown
+
+
+def share_text(share: float | None) -> str:
+    """Return a share in percent, or a dash for None."""
+    return "-" if share is None else f"{share:.1%}"
+
+
+def missing_lines(report: budget.Report) -> list[str]:
+    """Return the lines on data that the report lacks."""
+    lines = [
+        f"{len(report.rows)} objectives, {len(report.expected_vms)} VMs, "
+        f"until {time_text(report.end_s)}; "
+        f"{len(report.missing)} of {report.expected_intervals} VM-intervals missing"
+    ]
+    for row in report.missing[-SHOWN_MISSING:]:
+        covered = f"{row.covered_s} of {row.interval_s} s covered"
+        lines.append(f"missing: {row.vm} from {time_text(row.start_s)}, {covered}")
+    if len(report.missing) > SHOWN_MISSING:
+        hidden = len(report.missing) - SHOWN_MISSING
+        lines.append(f"missing: {hidden} more, all listed by --output json")
+    if report.unexpected_vms:
+        lines.append(f"not expected: {', '.join(report.unexpected_vms)}")
+    if report.ignored_records:
+        lines.append(f"ignored: {report.ignored_records} records of another form")
+    if report.unreadable_histograms:
+        lines.append(f"ignored: {report.unreadable_histograms} latency histograms")
+    return lines
+
+
+def _cells(row: budget.ObjectiveReport) -> list[str]:
+    return [
+        row.objective.service,
+        row.objective.rank,
+        f"{row.objective.share:.4g}",
+        *(
+            rate_text(window.rate, window.missing, window.expected)
+            for window in row.windows
+        ),
+        share_text(row.budget_left),
+        hour_text(row.worst_hour),
+        "-" if row.p99_ms is None else f"{row.p99_ms:.1f}",
+        row.state,
+    ]
+
+
+def hour_text(hour: budget.Hour | None) -> str:
+    """Return the burn rate and the start of an hour, or a dash for None."""
+    if hour is None:
+        return "-"
+    rate = rate_text(hour.rate, hour.missing, hour.expected)
+    return f"{rate} at {time_text(hour.start_s)}"
+
+
+def _row_document(row: budget.ObjectiveReport) -> dict[str, Any]:
+    return {
+        **row.objective._asdict(),
+        "state": row.state,
+        "budget_left": row.budget_left,
+        "p50_ms": row.p50_ms,
+        "p99_ms": row.p99_ms,
+        "windows": [
+            {
+                **window._asdict(),
+                "window": budget.NAME_BY_WINDOW_S[window.window_s],
+                "counts": window.counts._asdict(),
+            }
+            for window in row.windows
+        ],
+        "worst_hour": None if row.worst_hour is None else _hour(row.worst_hour),
+        "hours": [_hour(hour) for hour in row.hours],
+    }
+
+
+def _hour(hour: budget.Hour) -> dict[str, Any]:
+    return {
+        **hour._asdict(),
+        "start": time_text(hour.start_s),
+        "counts": hour.counts._asdict(),
+    }
--- /dev/null
+++ b/src/wasabivalve/burn/tests/test_burn.py
@@ -0,0 +1,195 @@
+"""Guard the burn report against healthy-looking gaps and wrong sums."""
+
+import itertools
+import json
+import re
+from html import parser
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wasabivalve import burn, outcomes
+from wasabivalve.burn import budget, merging
+
+INTERVAL = 300
+END = 1_800_000_000 // INTERVAL * INTERVAL
+NOW = END + budget.SETTLE_S
+OBJECTIVE = burn.Objective("slotbook", "urgent", 0.99, 20)
+STARTS = range(END - budget.WINDOWS_S[-1], END, INTERVAL)
+
+
+def summary(vm, start, on_time=99, late=1, interval=INTERVAL, record_id=None):
+    entry = {
+        "service": "slotbook",
+        "rank": "urgent",
+        "on_time": on_time,
+        "late": late,
+        "not_run": 0,
+        "unknown": 0,
+        "histogram": "",
+    }
+    return {
+        "kind": "burn_summary",
+        "record_id": record_id or f"{vm}-{start}",
+        "vm": vm,
+        "interval_start_s": start,
+        "interval_s": interval,
+        "entries": [entry] if on_time + late else [],
+    }
+
+
+def recorder(start=END):
+    numbers = itertools.count()
+    return burn.BurnWindow("entry-1", start, lambda: f"id-{next(numbers)}")
+
+
+def only_row(summaries, vms=("a", "b")):
+    (row,) = burn.report(summaries, [OBJECTIVE], NOW, vms).rows
+    return row
+
+
+def test_complete_data_at_the_objective_burns_at_one():
+    row = only_row([summary(vm, start) for vm in "ab" for start in STARTS])
+    assert [window.rate for window in row.windows] == pytest.approx([1.0] * 4)
+    assert row.budget_left == pytest.approx(0.0)
+
+
+@pytest.mark.parametrize("late", [0, 50])
+def test_a_missing_vm_is_never_healthy(late):
+    """A VM that stopped reporting may be the one that fails."""
+    row = only_row([summary("a", start, 99, late) for start in STARTS])
+    assert row.state in ("missing", "page")
+    assert all(window.missing * 2 == window.expected for window in row.windows)
+    assert "ok" not in {window.state for window in row.windows}
+
+
+def test_no_data_at_all_is_missing_and_not_idle():
+    row = only_row([])
+    assert row.state == "missing"
+    assert row.windows[0].rate is None
+    assert "missing 2/2" in burn.render_table(
+        burn.report([], [OBJECTIVE], NOW, ["a", "b"])
+    )
+
+
+def test_one_lost_interval_is_named():
+    lost = END - 600
+    rows = [summary(vm, at) for vm in "ab" for at in STARTS if (vm, at) != ("a", lost)]
+    found = burn.report(rows, [OBJECTIVE], NOW, ["a", "b"])
+    assert found.missing == (budget.MissingInterval("a", lost, 0, INTERVAL),)
+    assert [window.missing for window in found.rows[0].windows] == [0, 1, 1, 1]
+
+
+def test_a_repeated_summary_counts_once():
+    """An append whose response was lost may be on the log twice."""
+    merged = burn.merge([summary("a", END), summary("a", END)])
+    assert merged.counts_by_cell["slotbook", "urgent", END].total == 100
+
+
+def test_the_worst_hour_and_alert_are_found():
+    bad = END - 7 * 3600
+    rows = [
+        summary("a", at, 0 if bad <= at < bad + 3600 else 100, 100 if at == bad else 0)
+        for at in STARTS
+    ]
+    row = only_row(rows, ["a"])
+    assert row.worst_hour is not None
+    assert row.worst_hour.start_s == bad
+    assert row.worst_hour.rate == pytest.approx(100.0)
+    assert row.state == "ok"
+    assert only_row([summary("a", at, 50, 50) for at in STARTS], ["a"]).state == "page"
+
+
+def test_damaged_records_are_counted_and_ignored():
+    bad = [{"kind": "x"}, summary("a", END, on_time=-5), {"record_id": 3}]
+    assert burn.merge(bad).ignored == 3
+    _, unreadable = merging.merge_histograms(["", "AAAA", "not base64 é"])
+    assert unreadable == 3
+
+
+def test_recorder_emits_idle_intervals_and_latencies():
+    """Without a summary an idle VM could not be told from a lost one."""
+    window = recorder(END - 2 * INTERVAL)
+    window.record("slotbook", "urgent", "on_time", 12.0, END - 2 * INTERVAL)
+    window.record("slotbook", "urgent", "unknown", 90.0, END - INTERVAL - 1)
+    summaries = window.take(END - INTERVAL + 1) + window.take(END + 1)
+    assert [len(row["entries"]) for row in summaries] == [1, 0]
+    assert summaries[0]["entries"][0]["unknown"] == 1
+    row = only_row(summaries, ["entry-1"])
+    assert row.p99_ms == pytest.approx(90.0, rel=0.02)
+    assert row.windows[0].missing == 0
+
+
+def test_a_suspended_process_leaves_its_gap_missing():
+    """A frozen VM observed nothing, so its interval must not look idle."""
+    window = recorder(END - 4 * INTERVAL)
+    window.take(END - 4 * INTERVAL + 100)
+    summaries = window.take(END - 100) + window.close(END)
+    found = burn.report(summaries, [OBJECTIVE], NOW, ["entry-1"])
+    late = [row.start_s for row in found.missing if row.start_s >= END - 4 * INTERVAL]
+    assert late == [END - 4 * INTERVAL + n * INTERVAL for n in range(4)]
+
+
+def test_a_restart_inside_an_interval_shows_the_part_that_was_lost():
+    window = recorder(END - INTERVAL + 120)
+    summaries = window.take(END)
+    found = burn.report(summaries, [OBJECTIVE], NOW, ["entry-1"])
+    assert found.missing[-1].covered_s == INTERVAL - 120
+
+
+@given(st.lists(st.integers(-50, 400), max_size=30))
+def test_recorder_loses_no_request_whatever_the_clock_does(steps):
+    window, now, taken = recorder(), END, []
+    for step in steps:
+        now += step
+        window.record("slotbook", "urgent", "late", 1.0, now)
+        taken += window.take(now)
+    taken += window.close(now + 1)
+    total = sum(entry["late"] for row in taken for entry in row["entries"])
+    spans = sorted((row["interval_start_s"], row["interval_s"]) for row in taken)
+    assert total == len(steps)
+    assert all(a + length <= b for (a, length), (b, _) in itertools.pairwise(spans))
+
+
+@pytest.mark.parametrize(
+    ("outcome", "duration", "result"),
+    [
+        (outcomes.Done(200, (), b""), 20.0, "on_time"),
+        (outcomes.Done(200, (), b""), 20.1, "late"),
+        (outcomes.NotRun("full"), 1.0, "not_run"),
+        (outcomes.Unknown("silent"), 1.0, "unknown"),
+    ],
+)
+def test_outcomes_are_classified(outcome, duration, result):
+    assert burn.classify(outcome, duration, 20.0) == result
+
+
+class Tags(parser.HTMLParser):
+    """Collect the tags and attributes of a page."""
+
+    def __init__(self):
+        super().__init__()
+        self.names, self.attributes = [], []
+
+    def handle_starttag(self, tag, attrs):
+        self.names.append(tag)
+        self.attributes += attrs
+
+
+def test_html_page_is_self_contained_and_escapes_names():
+    """An external resource fails offline; a raw name could inject a script."""
+    objective = burn.Objective("<script>", "urgent", 0.99, 20)
+    page = burn.render_html(burn.report([], [objective], NOW, ["a"]))
+    tags = Tags()
+    tags.feed(page)
+    assert "script" not in tags.names
+    assert "svg" in tags.names
+    assert not {"src", "href", "data", "action"} & {name for name, _ in tags.attributes}
+    assert not re.search(r"https?:|@import", page)
+
+
+def test_json_is_plain():
+    found = burn.report([summary("a", END - 300)], [OBJECTIVE], NOW, ["a"])
+    document = json.loads(burn.render_json(found))
+    assert document["objectives"][0]["windows"][0]["rate"] == pytest.approx(1.0)
