--- a/src/wasabivalve/stand_ins/__init__.py
+++ b/src/wasabivalve/stand_ins/__init__.py
@@ -1,5 +1,36 @@
 """Stand-ins of the platform for tests and demonstrations."""
 
+from .history import (
+    CallerOutcome,
+    Run,
+    UnavailableSpan,
+    check_not_run_claims,
+    check_single_owners,
+    check_single_runs,
+    check_unavailable_time,
+    find_unavailable_spans,
+)
 from .log_service import LogFaults, LogService, Retention
+from .upstream import Upstream
+from .upstream_options import UpstreamFaults, UpstreamOptions
+from .vm_list import VmEntry, VmList, VmListFaults
 
-__all__ = ["LogFaults", "LogService", "Retention"]
+__all__ = [
+    "CallerOutcome",
+    "LogFaults",
+    "LogService",
+    "Retention",
+    "Run",
+    "UnavailableSpan",
+    "Upstream",
+    "UpstreamFaults",
+    "UpstreamOptions",
+    "VmEntry",
+    "VmList",
+    "VmListFaults",
+    "check_not_run_claims",
+    "check_single_owners",
+    "check_single_runs",
+    "check_unavailable_time",
+    "find_unavailable_spans",
+]
--- a/src/wasabivalve/stand_ins/http_server.py
+++ b/src/wasabivalve/stand_ins/http_server.py
@@ -2,6 +2,7 @@
 
 import http
 import logging
+import socket
 import threading
 import time
 import urllib.parse
@@ -53,7 +54,10 @@
 
     def __init__(self) -> None:
         self.frozen = False
+        self.thawed = threading.Event()
+        self.thawed.set()
         self.stopping = False
+        self.closed = False
         self.running = 0
         self.lock = threading.Lock()
 
@@ -78,6 +82,8 @@
         return super().writable()
 
     def write_soon(self, data: Any) -> int:
+        # Handler threads write to the socket themselves.
+        self.server.controls.thawed.wait()
         if self.silent:
             return len(data)
         return super().write_soon(data)
@@ -94,6 +100,12 @@
             return False
         return super().readable()
 
+    def pull_trigger(self) -> None:
+        # After the close, another file may have the number of the trigger's pipe.
+        with self.controls.lock:
+            if not self.controls.closed:
+                super().pull_trigger()
+
 
 class HttpServer:
     """Run a handler in a bounded pool of threads behind one listening socket."""
@@ -106,6 +118,7 @@
         self._threads = threads
         self._server: _Server | None = None
         self._loop: threading.Thread | None = None
+        self._reservation: socket.socket | None = None
 
     @property
     def url(self) -> str:
@@ -113,11 +126,15 @@
         return f"http://{self._host}:{self._port}"
 
     def start(self) -> None:
-        """Listen and serve; raise OSError when the port is taken."""
+        """Listen and serve unless started; raise OSError when the port is taken."""
+        if self._server is not None:
+            return
         # Queued requests are expected under load and told by the responses.
         logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+        if self._reservation is None:
+            self._reservation = _reserve_port(self._host, self._port)
+            self._port = self._reservation.getsockname()[1]
         server = self._create_server()
-        self._port = int(server.effective_port)
         self._server = server
         self._loop = threading.Thread(
             target=_run_loop, args=(server,), name="stand-in-loop", daemon=True
@@ -126,6 +143,13 @@
 
     def close(self, grace_ms: float = 0.0) -> None:
         """Stop listening, give running requests a time to end, cut the rest."""
+        self.stop(grace_ms)
+        if self._reservation:
+            self._reservation.close()
+            self._reservation = None
+
+    def stop(self, grace_ms: float = 0.0) -> None:
+        """Do as `close`, but keep the port for another start."""
         server, self._server = self._server, None
         if server is None or self._loop is None:
             return
@@ -136,13 +160,16 @@
             time.sleep(DRAIN_STEP_S)
         server.task_dispatcher.set_thread_count(0)
         server.stopped = True
+        server.controls.thawed.set()
         server.pull_trigger()
         self._loop.join()
 
     def freeze(self, frozen: bool) -> None:
         """Leave all sockets untouched, as a stopped process does, or resume."""
         if self._server:
-            self._server.controls.frozen = frozen
+            controls = self._server.controls
+            controls.frozen = frozen
+            controls.thawed.clear() if frozen else controls.thawed.set()
             self._server.pull_trigger()
 
     def silence_connections(self) -> int:
@@ -174,6 +201,19 @@
         return server
 
 
+def _reserve_port(host: str, port: int) -> socket.socket:
+    # A bound socket that does not listen: connections are refused while the
+    # server is stopped, and the system gives the port to nobody else.
+    reservation = socket.socket()
+    try:
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reservation.bind((host, port))
+    except OSError:
+        reservation.close()
+        raise
+    return reservation
+
+
 def _busy(server: _Server) -> bool:
     channels = list(server.active_channels.values())
     return server.controls.running > 0 or any(
@@ -189,7 +229,9 @@
     for channel in list(server.active_channels.values()):
         # Handlers that still run must find their connection closed.
         channel.connected = False
-    waitress.wasyncore.close_all(server._map, ignore_all=True)
+    with server.controls.lock:
+        server.controls.closed = True
+        waitress.wasyncore.close_all(server._map, ignore_all=True)
 
 
 def _wsgi_application(handler: Handler, controls: _Controls) -> Callable[..., Any]:
