Import submodules of ownership in the owner table

Cause: importing wasabivalve.ownership before wasabivalve.routing failed with AttributeError: the two packages import each other. Change: the owner table imports key_ranges and token, which are complete when ownership imports routing. Figures: python -c "import wasabivalve.ownership" failed before, passes now. Conclusion: either package can be imported first.

--- a/src/wasabivalve/routing/owner_table.py
+++ b/src/wasabivalve/routing/owner_table.py
@@ -3,7 +3,9 @@
 import bisect
 from typing import NamedTuple
 
-from wasabivalve import outcomes, ownership
+from wasabivalve import outcomes
+from wasabivalve.ownership import key_ranges
+from wasabivalve.ownership import token as tokens
 from wasabivalve.schema import messages_generated
 
 
@@ -11,7 +13,7 @@
     """Name the server that owns a key and the token of its grant."""
 
     server: str
-    token: ownership.Token
+    token: tokens.Token
 
 
 class OwnerTable:
@@ -35,7 +37,7 @@
         """Return the owner of a key, or None when the table names none."""
         if key in self._owner_by_key:
             return self._owner_by_key[key]
-        return self.owner_at(ownership.position_of_key(key))
+        return self.owner_at(key_ranges.position_of_key(key))
 
     def owner_at(self, position: int) -> Owner | None:
         """Return the owner of the range with this position, exceptions aside."""
@@ -63,7 +65,7 @@
     file = f"owner_table {message['shard']}"
     for entry in sorted(message["ranges"], key=lambda entry: entry["start"]):
         name = f"[{entry['start']}, {entry['end']})"
-        if not entry["start"] < entry["end"] <= ownership.POSITIONS:
+        if not entry["start"] < entry["end"] <= key_ranges.POSITIONS:
             found.append(outcomes.Finding(file, "$.ranges", f"{name} is not a range"))
         if entry["start"] < previous_end:
             found.append(outcomes.Finding(file, "$.ranges", f"{name} overlaps another"))
@@ -71,8 +73,8 @@
     return tuple(found)
 
 
-def _token(message: messages_generated.Token) -> ownership.Token:
-    return ownership.Token(message["term"], message["position"], message["step"])
+def _token(message: messages_generated.Token) -> tokens.Token:
+    return tokens.Token(message["term"], message["position"], message["step"])
 
 
 def _owner(server: str, token: messages_generated.Token) -> Owner | None:
