Add stand-ins of upstreams and of the VM list, and history checks

Cause: leases, slots, "not run" answers and at-most-once runs need servers that can fail in the ways the design page lists. Change: Upstream with slots, backlog, leases, drain, cancellation, deadlines, recorded runs and faults; VmList with a lag; pure checks of histories. Conclusion: daemons can be tested against failing upstreams over sockets.

--- /dev/null
+++ b/src/wasabivalve/stand_ins/command.py
@@ -0,0 +1,181 @@
+"""Run one stand-in of the platform as a process."""
+
+import signal
+import threading
+from typing import Protocol
+
+import click
+
+from . import log_service, upstream, upstream_options, vm_list
+
+
+class Service(Protocol):
+    """Describe what the commands need of a stand-in."""
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+
+    def start(self) -> None:
+        """Listen and serve."""
+
+    def close(self, grace_ms: float = ...) -> None:
+        """Let running requests finish and stop."""
+
+
+def serve(service: Service, grace_ms: float) -> None:
+    """Print the URL once the service listens and stop it on a signal."""
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    try:
+        service.start()
+    except OSError as error:
+        raise click.ClickException(f"{service.url}: {error}") from error
+    click.echo(service.url)
+    stop.wait()
+    service.close(grace_ms)
+
+
+host_option = click.option(
+    "--host", default="127.0.0.1", show_default=True, help="IP address to listen on."
+)
+port_option = click.option(
+    "--port",
+    type=click.IntRange(0, 65_535),
+    default=0,
+    show_default=True,
+    help="Port to listen on; 0 takes a free one.",
+)
+grace_option = click.option(
+    "--grace-ms",
+    type=click.FloatRange(0),
+    default=2000.0,
+    show_default=True,
+    help="Time that running requests have to end at a stop.",
+)
+seed_option = click.option(
+    "--seed", type=int, default=0, show_default=True, help="Seed of random faults."
+)
+
+
+@click.group(name="stand-in")
+def stand_in() -> None:
+    """Run a stand-in of the platform for tests and demonstrations."""
+
+
+@stand_in.command()
+@host_option
+@port_option
+@grace_option
+@seed_option
+@click.option("--retention-records", type=click.IntRange(1), help="Records per stream.")
+@click.option("--retention-ms", type=click.FloatRange(0), help="Age of records.")
+@click.option(
+    "--append-latency-ms", type=click.FloatRange(0), default=0.0, show_default=True
+)
+def log(
+    host: str,
+    port: int,
+    grace_ms: float,
+    seed: int,
+    retention_records: int | None,
+    retention_ms: float | None,
+    append_latency_ms: float,
+) -> None:
+    """Run the log service."""
+    retention = log_service.Retention(retention_records, retention_ms)
+    service = log_service.LogService(host, port, retention, seed)
+    service.set_faults(append_latency_ms=append_latency_ms)
+    serve(service, grace_ms)
+
+
+@stand_in.command(name="upstream")
+@host_option
+@port_option
+@grace_option
+@seed_option
+@click.option("--name", required=True, help="Name of the instance.")
+@click.option("--service", required=True, help="Name of its service.")
+@click.option("--slots", type=click.IntRange(1), default=2, show_default=True)
+@click.option("--backlog", type=click.IntRange(0), default=2, show_default=True)
+@click.option(
+    "--service-time-ms", type=click.FloatRange(0), default=5.0, show_default=True
+)
+@click.option(
+    "--service-time-spread",
+    type=click.FloatRange(0, 5),
+    default=0.0,
+    show_default=True,
+    help="Standard deviation of the logarithm of the service time.",
+)
+@click.option(
+    "--cold-start-ms", type=click.FloatRange(0), default=0.0, show_default=True
+)
+@click.option("--cold-factor", type=click.FloatRange(1), default=3.0, show_default=True)
+@click.option("--probe-ms", type=click.FloatRange(0), default=0.0, show_default=True)
+@click.option("--divided-by-key", is_flag=True, help="Require a lease of the key.")
+@click.option("--checks-fencing/--ignores-fencing", default=True, show_default=True)
+@click.option(
+    "--lease-ms",
+    type=click.FloatRange(0, min_open=True),
+    default=700.0,
+    show_default=True,
+)
+@click.option("--response-bytes", type=click.IntRange(0), default=0, show_default=True)
+@click.option("--poison-marker", default="", help="Text in a body that crashes it.")
+@click.option("--exit-on-crash", is_flag=True, help="End the process at a crash.")
+def run_upstream(
+    grace_ms: float,
+    poison_marker: str,
+    host: str,
+    port: int,
+    name: str,
+    service: str,
+    slots: int,
+    backlog: int,
+    service_time_ms: float,
+    service_time_spread: float,
+    seed: int,
+    cold_start_ms: float,
+    cold_factor: float,
+    probe_ms: float,
+    divided_by_key: bool,
+    checks_fencing: bool,
+    lease_ms: float,
+    response_bytes: int,
+    exit_on_crash: bool,
+) -> None:
+    """Run one upstream instance."""
+    options = upstream_options.UpstreamOptions(
+        name=name,
+        service=service,
+        host=host,
+        port=port,
+        slots=slots,
+        backlog=backlog,
+        service_time_ms=service_time_ms,
+        service_time_spread=service_time_spread,
+        seed=seed,
+        cold_start_ms=cold_start_ms,
+        cold_factor=cold_factor,
+        probe_ms=probe_ms,
+        divided_by_key=divided_by_key,
+        checks_fencing=checks_fencing,
+        lease_ms=lease_ms,
+        response_bytes=response_bytes,
+        exit_on_crash=exit_on_crash,
+    )
+    instance = upstream.Upstream(options)
+    instance.set_faults(poison_marker=poison_marker)
+    serve(instance, grace_ms)
+
+
+@stand_in.command(name="vm-list")
+@host_option
+@port_option
+@grace_option
+@click.option("--lag-ms", type=click.FloatRange(0), default=0.0, show_default=True)
+def run_vm_list(host: str, port: int, grace_ms: float, lag_ms: float) -> None:
+    """Run the list of live and leaving VMs."""
+    serve(vm_list.VmList(host, port, lag_ms), grace_ms)
--- /dev/null
+++ b/src/wasabivalve/stand_ins/slots.py
@@ -0,0 +1,102 @@
+"""Share the slots of an upstream among its requests, first come first served."""
+
+import collections
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+# How often a waiting request checks whether its client has left.
+CLIENT_CHECK_S = 0.25
+
+
+class Refused(NamedTuple):
+    """Tell why a request got no slot."""
+
+    reason: str
+
+
+class Ticket:
+    """Hold the place of one request, waiting or running."""
+
+    def __init__(self, request_id: str):
+        self.request_id = request_id
+        self.cancelled = False
+
+
+class SlotTable:
+    """Hold the running and waiting requests; callers hold ``changed``."""
+
+    def __init__(
+        self,
+        slots: int,
+        backlog: int,
+        changed: threading.Condition,
+        on_change: Callable[[int, int], None],
+    ):
+        """Take sizes, a condition and what to tell of running and waiting."""
+        self._slots = slots
+        self._backlog = backlog
+        self._changed = changed
+        self._on_change = on_change
+        self._running: set[Ticket] = set()
+        self._waiting: collections.deque[Ticket] = collections.deque()
+
+    @property
+    def running(self) -> int:
+        """Return the number of running requests."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting)
+
+    def take(
+        self,
+        ticket: Ticket,
+        stop_reason: Callable[[], str | None],
+        time_left_s: Callable[[], float],
+    ) -> Refused | None:
+        """Wait for a slot until ``stop_reason`` names a reason to give up.
+
+        The reason is asked for on each change and when ``time_left_s`` has passed.
+        """
+        if self.running < self._slots and not self._waiting:
+            self._running.add(ticket)
+            self._note_change()
+            return None
+        if len(self._waiting) >= self._backlog:
+            return Refused("slots and backlog are full")
+        self._waiting.append(ticket)
+        self._note_change()
+        while self.running >= self._slots or self._waiting[0] is not ticket:
+            if reason := stop_reason():
+                self._waiting.remove(ticket)
+                self._note_change()
+                return Refused(reason)
+            self._changed.wait(max(0.0, min(CLIENT_CHECK_S, time_left_s())))
+        self._waiting.popleft()
+        self._running.add(ticket)
+        self._note_change()
+        return None
+
+    def release(self, ticket: Ticket) -> None:
+        """Free the slot of a running request."""
+        self._running.discard(ticket)
+        self._note_change()
+
+    def cancel(self, request_id: str) -> bool:
+        """Mark the requests with an id as cancelled; return whether there is one."""
+        found = [
+            ticket
+            for ticket in (*self._running, *self._waiting)
+            if ticket.request_id == request_id
+        ]
+        for ticket in found:
+            ticket.cancelled = True
+        self._changed.notify_all()
+        return bool(found)
+
+    def _note_change(self) -> None:
+        self._on_change(self.running, self.waiting)
+        self._changed.notify_all()
--- /dev/null
+++ b/src/wasabivalve/stand_ins/upstream_options.py
@@ -0,0 +1,82 @@
+"""Define the options and faults of an upstream."""
+
+import dataclasses
+from typing import Annotated, Any, NamedTuple, TypedDict
+
+import msgspec
+
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class UpstreamOptions(NamedTuple):
+    """Describe an upstream; times in ms.
+
+    The service time is log-normal with the given median and spread (the standard
+    deviation of its logarithm; 0 for a fixed time). After a start it is multiplied
+    by ``cold_factor``, which falls to 1 within ``cold_start_ms``. ``divided_by_key``
+    makes requests need a lease of their key. ``exit_on_crash`` makes a poison
+    request end the process; otherwise the upstream stops for a time.
+    """
+
+    name: str
+    service: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    slots: int = 2
+    backlog: int = 2
+    service_time_ms: float = 5.0
+    service_time_spread: float = 0.0
+    seed: int = 0
+    cold_start_ms: float = 0.0
+    cold_factor: float = 3.0
+    probe_ms: float = 0.0
+    divided_by_key: bool = False
+    checks_fencing: bool = True
+    lease_ms: float = 700.0
+    response_bytes: int = 0
+    history_limit: int = 200_000
+    exit_on_crash: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamFaults:
+    """Set the lasting faults of an upstream; times in ms.
+
+    ``lost_answers`` and ``cut_bodies`` count the next runs that commit and whose
+    response is lost or cut off; the shares apply to all runs. ``poison_marker`` in
+    a body crashes the upstream for ``crash_ms`` while the request runs.
+    ``reported_load`` replaces the reported number of running requests.
+    ``load_lag_ms`` delays the reported load. ``always_healthy`` hides draining.
+    """
+
+    slow_factor: Positive = 1.0
+    lost_answers: Count = 0
+    lost_answer_share: Share = 0.0
+    cut_bodies: Count = 0
+    cut_body_share: Share = 0.0
+    poison_marker: str = ""
+    crash_ms: NotNegative = 500.0
+    reported_load: NotNegative | None = None
+    load_lag_ms: NotNegative = 0.0
+    always_healthy: bool = False
+
+
+class FaultActions(TypedDict, total=False):
+    """Name faults that happen once: a freeze or crash for a time, silence."""
+
+    freeze_for_ms: NotNegative
+    crash_for_ms: NotNegative
+    silence_connections: bool
+
+
+ACTION_NAMES = frozenset(FaultActions.__annotations__)
+
+
+def split_changes(document: dict[str, Any]) -> tuple[dict[str, Any], dict[str, Any]]:
+    """Return the lasting changes and the actions of a faults document."""
+    actions = {name: document[name] for name in ACTION_NAMES & document.keys()}
+    lasting = {name: document[name] for name in document.keys() - ACTION_NAMES}
+    return lasting, actions
--- /dev/null
+++ b/src/wasabivalve/stand_ins/vm_list.py
@@ -0,0 +1,145 @@
+"""Stand in for the platform's list of VMs, which lags behind."""
+
+import collections
+import dataclasses
+import re
+import threading
+import time
+from collections.abc import Callable
+from typing import Annotated, Any, Literal, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from . import http_server, replies
+
+THREADS = 8
+VM_PATH = re.compile(r"/vms/([A-Za-z0-9_.-]{1,64})")
+
+
+class VmEntry(TypedDict):
+    """Describe one VM of the list."""
+
+    name: str
+    address: str
+    data_centre: str
+    state: Literal["live", "leaving"]
+
+
+class _VmDocument(TypedDict):
+    address: NotRequired[str]
+    data_centre: NotRequired[str]
+    state: NotRequired[Literal["live", "leaving"]]
+
+
+class _Change(NamedTuple):
+    at_ms: float
+    name: str
+    entry: VmEntry | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmListFaults:
+    """Set the lag of the list in ms and whether it is down."""
+
+    lag_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    down: bool = False
+
+
+class VmList:
+    """Serve the VMs as they were ``lag_ms`` ago."""
+
+    def __init__(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        lag_ms: float = 0.0,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        """Take an address, the lag in ms and a clock in seconds."""
+        self._clock = clock
+        self._faults = VmListFaults(lag_ms)
+        self._lock = threading.Lock()
+        self._changes: collections.deque[_Change] = collections.deque()
+        self._visible_by_name: dict[str, VmEntry] = {}
+        self._server = http_server.HttpServer(self._handle, host, port, THREADS)
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return self._server.url
+
+    def start(self) -> None:
+        """Listen and serve; raise OSError when the port is taken."""
+        self._server.start()
+
+    def close(self, grace_ms: float = 2000.0) -> None:
+        """Let running requests finish and stop."""
+        self._server.close(grace_ms)
+
+    def set_faults(self, **changes: Any) -> None:
+        """Change some fields of `VmListFaults`; raise BadRequest for a wrong one."""
+        with self._lock:
+            self._faults = replies.update_faults(self._faults, changes)
+
+    def put(
+        self,
+        name: str,
+        address: str = "",
+        data_centre: str = "",
+        state: Literal["live", "leaving"] = "live",
+    ) -> None:
+        """Add a VM or replace its entry."""
+        entry: VmEntry = {
+            "name": name,
+            "address": address,
+            "data_centre": data_centre,
+            "state": state,
+        }
+        self._change(name, entry)
+
+    def remove(self, name: str) -> None:
+        """Remove a VM."""
+        self._change(name, None)
+
+    def visible(self) -> tuple[VmEntry, ...]:
+        """Return the VMs that a reader sees now, by name."""
+        with self._lock:
+            shown_until_ms = self._clock() * 1000 - self._faults.lag_ms
+            while self._changes and self._changes[0].at_ms <= shown_until_ms:
+                _apply(self._visible_by_name, self._changes.popleft())
+            return tuple(entry for _, entry in sorted(self._visible_by_name.items()))
+
+    def _change(self, name: str, entry: VmEntry | None) -> None:
+        with self._lock:
+            self._changes.append(_Change(self._clock() * 1000, name, entry))
+
+    def _handle(self, request: http_server.Request) -> http_server.Response:
+        try:
+            return self._route(request)
+        except replies.BadRequest as error:
+            return replies.error_response(400, str(error))
+
+    def _route(self, request: http_server.Request) -> http_server.Response:
+        if request.path == "/faults":
+            if request.method == "POST":
+                self.set_faults(**replies.decode_body(request.body, dict[str, Any]))
+            return replies.json_response(dataclasses.asdict(self._faults))
+        if self._faults.down:
+            return replies.error_response(503, "the VM list is down")
+        if request.path == "/vms" and request.method == "GET":
+            return replies.json_response({"vms": self.visible()})
+        match = VM_PATH.fullmatch(request.path)
+        if match and request.method == "PUT":
+            self.put(match[1], **replies.decode_body(request.body, _VmDocument))
+            return replies.json_response({"name": match[1]})
+        if match and request.method == "DELETE":
+            self.remove(match[1])
+            return replies.json_response({"name": match[1]})
+        return replies.error_response(404, f"no {request.method} {request.path!r}")
+
+
+def _apply(entry_by_name: dict[str, VmEntry], change: _Change) -> None:
+    if change.entry is None:
+        entry_by_name.pop(change.name, None)
+    else:
+        entry_by_name[change.name] = change.entry
