--- a/src/wasabivalve/entry/control.py
+++ b/src/wasabivalve/entry/control.py
@@ -98,6 +98,8 @@
     def _act(self, action: membership.Action) -> None:
         if isinstance(action, membership.Change):
             events.emit(101 if action.live else 102, vm=action.vm, reason=action.reason)
+            if not action.live:
+                self._bus.fail_pending(action.vm)
         elif isinstance(action, membership.Probe):
             self._bus.send(
                 action.via,
--- a/src/wasabivalve/entry/permits.py
+++ b/src/wasabivalve/entry/permits.py
@@ -132,7 +132,7 @@
         future = self._bus.request(dispatcher_vm, "permit_request", message)
         try:
             reply: messages_generated.PermitReply = future.result(wait_ms / 1000)
-        except futures.TimeoutError:
+        except (futures.TimeoutError, peers.PeerLostError):
             self._bus.forget(future)
             return None
         return reply
--- a/src/wasabivalve/peers/__init__.py
+++ b/src/wasabivalve/peers/__init__.py
@@ -1,13 +1,14 @@
 """Messages between entry VMs."""
 
 from .codec import MESSAGE_TYPE_BY_KIND, decode, encode
-from .core import Bus, BusOptions, Incoming
+from .core import Bus, BusOptions, Incoming, PeerLostError
 
 __all__ = [
     "MESSAGE_TYPE_BY_KIND",
     "Bus",
     "BusOptions",
     "Incoming",
+    "PeerLostError",
     "decode",
     "encode",
 ]
--- a/src/wasabivalve/peers/core.py
+++ b/src/wasabivalve/peers/core.py
@@ -50,6 +50,15 @@
     frames: tuple[bytes, bytes, bytes, bytes]
 
 
+class _Pending(NamedTuple):
+    peer: str
+    future: futures.Future[Any]
+
+
+class PeerLostError(Exception):
+    """Report that the peer of a pending request is suspected."""
+
+
 class _KnownKeys:
     """Accept the CURVE keys of the declared peers only."""
 
@@ -77,7 +86,7 @@
         self._on_message = on_message
         self._on_drop = on_drop
         self._outgoing: queue.SimpleQueue[_Outgoing] = queue.SimpleQueue()
-        self._pending_by_id: dict[bytes, futures.Future[Any]] = {}
+        self._pending_by_id: dict[bytes, _Pending] = {}
         self._vm_by_key = {peer["public_key"]: peer["vm"] for peer in options.peers}
         self._vm_by_key[options.endpoint["public_key"]] = options.vm
         self._wake_reader, self._wake_writer = socket.socketpair()
@@ -138,7 +147,7 @@
         """
         correlation = secrets.token_bytes(8)
         future: futures.Future[Any] = futures.Future()
-        self._pending_by_id[correlation] = future
+        self._pending_by_id[correlation] = _Pending(peer, future)
         future.add_done_callback(lambda _: self._pending_by_id.pop(correlation, None))
         self._enqueue(peer, kind, correlation, _PLAIN, message)
         return future
@@ -148,6 +157,14 @@
         """Release a future whose reply is no longer awaited."""
         future.cancel()
 
+    def fail_pending(self, peer: str) -> None:
+        """End the requests to a peer with ``PeerLostError``."""
+        for correlation, pending in list(self._pending_by_id.items()):
+            if pending.peer == peer:
+                future = self._claim(correlation)
+                if future is not None:
+                    future.set_exception(PeerLostError(peer))
+
     def _enqueue(
         self,
         peer: str,
@@ -274,10 +291,17 @@
             events.emit(5, error=repr(error), kind=kind, sender=sender)
 
     def _complete(self, correlation: bytes, message: Any) -> None:
-        future = self._pending_by_id.get(correlation)
-        if future is not None and future.set_running_or_notify_cancel():
+        future = self._claim(correlation)
+        if future is not None:
             future.set_result(message)
 
+    def _claim(self, correlation: bytes) -> futures.Future[Any] | None:
+        # Removing it first lets only one thread complete the future.
+        pending = self._pending_by_id.pop(correlation, None)
+        if pending is None or not pending.future.set_running_or_notify_cancel():
+            return None
+        return pending.future
+
     def _drop(self, reason: str, sender: str) -> None:
         self.messages_dropped += 1
         self._on_drop()
