Reach the log through peers while it cannot be reached directly

Cause: a VM cut off from the log, or started during an outage, had no configuration. Change: reads and appends go through live peers; a peer answers a read from its own copy when the log is down, and says so. Conclusion: only answers of the log itself count as proof of contact.

--- a/src/wasabivalve/entry/configuration.py
+++ b/src/wasabivalve/entry/configuration.py
@@ -5,6 +5,8 @@
 
 from wasabivalve import events, platform_log, resources
 
+from . import log_access
+
 READ_WAIT_MS = 1_000.0
 FAILURE_PAUSE_MS = 200.0
 
@@ -60,13 +62,13 @@
 
     def __init__(
         self,
-        client: platform_log.LogClient,
+        access: log_access.LogAccess,
         stream: str,
-        on_batch: Callable[[platform_log.ReadBatch], None],
+        on_batch: Callable[[platform_log.ReadBatch, bool], None],
         on_gap: Callable[[platform_log.Gap], None],
         on_availability: Callable[[bool], None] = lambda available: None,
     ):
-        self._client = client
+        self._access = access
         self._stream = stream
         self._on_batch = on_batch
         self._on_gap = on_gap
@@ -88,21 +90,21 @@
 
     def _run(self) -> None:
         while not self._closing.is_set():
-            result = self._client.read(self._stream, self._offset, READ_WAIT_MS)
-            self._note_availability(
-                not isinstance(result, platform_log.LogUnavailable), result
+            result, from_log = self._access.read_any(
+                self._stream, self._offset, READ_WAIT_MS
             )
+            self._note_availability(from_log)
             if isinstance(result, platform_log.ReadBatch):
                 self._offset = result.next_offset
-                self._on_batch(result)
+                self._on_batch(result, from_log)
             elif isinstance(result, platform_log.Gap):
                 events.emit(202, stream=self._stream, offset=self._offset)
                 self._offset = result.oldest_offset
                 self._on_gap(result)
-            else:
+            if not from_log:
                 self._closing.wait(FAILURE_PAUSE_MS / 1000)
 
-    def _note_availability(self, available: bool, result: object) -> None:
+    def _note_availability(self, available: bool) -> None:
         if available == self._available:
             return
         self._available = available
--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -14,6 +14,7 @@
     control,
     dispatch,
     http_front,
+    log_access,
     owners,
     permits,
     request_path,
@@ -51,11 +52,18 @@
             _connections_per_instance(settings), MAXIMUM_ANSWER_BYTES
         )
         self._log = platform_log.LogClient(settings["log"]["url"])
+        streams = settings["log"]
+        self._access = log_access.LogAccess(
+            self._log,
+            self._bus,
+            self._live_peers,
+            (streams["configuration_stream"], streams["control_stream"]),
+        )
         self._followers = [
             configuration.LogFollower(
-                self._log,
-                settings["log"]["configuration_stream"],
-                lambda batch: self._configuration.take(batch.records),
+                self._access,
+                streams["configuration_stream"],
+                lambda batch, from_log: self._configuration.take(batch.records),
                 lambda gap: None,
             )
         ]
@@ -114,6 +122,7 @@
         self._control.stop()
         self._bus.close()
         self._client.close()
+        self._access.close()
         self._log.close()
         self._metrics.close()
         events.emit(3, vm=self._settings["vm"], emptied=emptied)
@@ -130,6 +139,12 @@
         self._metrics.count(_METRIC_BY_OUTCOME[type(outcome)])
         return outcome
 
+    def _live_peers(self) -> list[str]:
+        own = self._settings["vm"]
+        return [
+            vm for vm, live in self._published.live_by_vm.items() if live and vm != own
+        ]
+
     def _tick(self) -> None:
         self._dispatcher.expire(clock.monotonic_ms())
         self._control.tell(control.Tick())
@@ -148,6 +163,8 @@
             )
         elif incoming.kind == "permit_release":
             self._dispatcher.release(incoming.message, now)
+        elif incoming.kind == "log_relay_request":
+            self._access.serve(incoming)
         elif incoming.kind == "owner_table":
             self._owners.publish(incoming.message)
         else:
--- /dev/null
+++ b/src/wasabivalve/entry/tests/test_log_access.py
@@ -0,0 +1,102 @@
+"""Guard access to the log while the direct way or the log itself is down."""
+
+import msgspec
+
+from wasabivalve import peers, platform_log
+from wasabivalve.entry import log_access
+
+
+class FakeClient:
+    """Hold one stream in memory, or fail every call."""
+
+    def __init__(self, records=(), up=True):
+        self.records = list(records)
+        self.up = up
+
+    def append(self, stream, records):
+        if not self.up:
+            return platform_log.LogUnavailable("down")
+        first = len(self.records)
+        self.records += records
+        return platform_log.Appended(first)
+
+    def read(self, stream, offset, wait_ms=0.0, limit=1000):
+        if not self.up:
+            return platform_log.LogUnavailable("down")
+        rows = [
+            platform_log.LoggedRecord(index, record)
+            for index, record in enumerate(self.records)
+        ]
+        return platform_log.ReadBatch(tuple(rows[offset:]), len(rows), 0)
+
+
+class FakeBus:
+    """Deliver requests to the log access of one peer at once."""
+
+    def __init__(self):
+        self.peer = None
+
+    def request(self, peer, kind, message):
+        future = peers.core.futures.Future()
+        if self.peer is not None:
+            payload = msgspec.msgpack.encode(message)
+            decoded = peers.decode(kind, payload)
+            self.peer._serve(
+                peers.Incoming(
+                    "me", kind, decoded, lambda _, reply: future.set_result(reply)
+                )
+            )
+        else:
+            future.set_exception(peers.PeerLostError(peer))
+        return future
+
+    def forget(self, future):
+        future.cancel()
+
+
+def make_access(client, bus=None):
+    return log_access.LogAccess(
+        client, bus or FakeBus(), lambda: ["peer"], ["configuration"]
+    )
+
+
+def test_a_vm_cut_off_from_the_log_uses_a_peer():
+    bus = FakeBus()
+    bus.peer = make_access(FakeClient([{"record_id": "a"}]))
+    access = make_access(FakeClient(up=False), bus)
+    assert access.append("configuration", [{"record_id": "b"}]).first_offset == 1
+    batch = access.read("configuration", 0)
+    assert [row.record["record_id"] for row in batch.records] == ["a", "b"]
+
+
+def test_a_vm_that_starts_during_an_outage_reads_the_copy_of_a_peer():
+    """The configuration would otherwise be unknown on VMs that start meanwhile."""
+    bus = FakeBus()
+    client = FakeClient([{"record_id": "a"}])
+    bus.peer = make_access(client)
+    bus.peer.read("configuration", 0)
+    client.up = False
+    access = make_access(FakeClient(up=False), bus)
+    batch, from_log = access.read_any("configuration", 0)
+    assert [row.offset for row in batch.records] == [0]
+    assert batch.next_offset == 1
+    assert not from_log
+
+
+def test_a_lost_relay_leaves_an_append_unknown():
+    """Reporting it as not appended would let the caller append twice."""
+    access = make_access(FakeClient(up=False))
+    result = access.append("configuration", [{"record_id": "b"}])
+    assert isinstance(result, platform_log.AppendUnknown)
+
+
+def test_a_copy_never_hides_a_gap():
+    """A reader that misses records must not act on part of the state."""
+    copy = log_access.StreamCopy()
+    row = platform_log.LoggedRecord
+    copy.add(platform_log.ReadBatch((row(5, {}),), 6, 0))
+    assert copy.read(0, 10) == platform_log.Gap(5)
+    copy.add(platform_log.ReadBatch((row(6, {}), row(7, {})), 8, 0))
+    assert [found.offset for found in copy.read(5, 10).records] == [5, 6, 7]
+    copy.add(platform_log.ReadBatch((row(20, {}),), 21, 20))
+    assert copy.read(5, 10) == platform_log.Gap(20)
