Add the operator commands and the publishing of changes

Cause: operators need to change and watch the configuration without guessing what a lost response of the log means.

--- /dev/null
+++ b/src/wasabivalve/cli/configuration_commands.py
@@ -0,0 +1,328 @@
+"""Commands that check and change the configuration."""
+
+import hashlib
+import pathlib
+from collections.abc import Iterable
+
+import click
+
+from wasabivalve import outcomes, resources
+from wasabivalve.resources import planning, publishing, validation
+
+from . import options, tables, verdicts
+
+# Resource names have at most 64 characters.
+LONGEST_NAME = 64
+DIGEST_DIGITS = 16
+
+FILES = click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    metavar="FILE...",
+    type=click.Path(path_type=pathlib.Path),
+)
+
+
+def add_to(group: click.Group) -> None:
+    """Add the commands to a group."""
+    for command in (validate, apply, delete, drain):
+        group.add_command(command)
+
+
+@click.command(epilog=options.exit_codes(options.REFUSED, options.UNAVAILABLE))
+@FILES
+@options.optional_log_option
+@options.keys_option
+@options.output_option
+@options.pass_environment
+def validate(
+    environment: options.Environment,
+    files: tuple[pathlib.Path, ...],
+    log_url: str | None,
+    keys_file: pathlib.Path | None,
+    output: str,
+) -> None:
+    """Check resource and settings files and report all findings together.
+
+    Resources are checked against each other, against the settings files given with
+    them and, with --log, against the configuration on the log.
+    """
+    state = resources.EMPTY
+    if log_url:
+        keys = options.load_keys(keys_file)
+        state = options.read_configuration(environment, log_url, keys).state
+    found = validation.read_files(files)
+    findings = found.findings + resources.validate(found.documents, state)
+    _show_findings(findings, output, len(found.documents), len(files))
+    raise click.exceptions.Exit(options.REFUSED if findings else options.DONE)
+
+
+@click.command(
+    epilog=options.exit_codes(
+        options.REFUSED, options.CONFLICT, options.PENDING, options.UNAVAILABLE
+    )
+)
+@FILES
+@click.option("--dry-run", is_flag=True, help="Show the changes and write nothing.")
+@options.log_option
+@options.operator_option
+@options.key_file_option
+@options.keys_option
+@options.output_option
+@options.pass_environment
+def apply(
+    environment: options.Environment,
+    files: tuple[pathlib.Path, ...],
+    dry_run: bool,
+    log_url: str,
+    operator: str | None,
+    key_file: pathlib.Path | None,
+    keys_file: pathlib.Path | None,
+    output: str,
+) -> None:
+    """Publish the resources of files on the log.
+
+    A resource with a revision is written only when that is still its revision.
+    Settings files are used for checks and are not published.
+    """
+    if not dry_run:
+        options.load_author(environment, operator, key_file)
+    keys = options.load_keys(keys_file, operator, key_file)
+    current = options.read_configuration(environment, log_url, keys)
+    found = validation.read_files(files)
+    findings = found.findings + resources.validate(found.documents, current.state)
+    if findings:
+        _show_findings(findings, output, len(found.documents), len(files))
+        raise click.exceptions.Exit(options.REFUSED)
+    changes = [
+        planning.Change(
+            row.value["kind"],
+            row.value["name"],
+            row.value["spec"],
+            row.value.get("revision"),
+        )
+        for row in found.documents
+        if not row.is_settings
+    ]
+    if dry_run:
+        _show_dry_run(changes, current.state, output)
+        return
+    author = options.load_author(environment, operator, key_file)
+    _publish(environment, log_url, changes, current, author, keys, output)
+
+
+@click.command(
+    epilog=options.exit_codes(
+        options.REFUSED, options.CONFLICT, options.PENDING, options.UNAVAILABLE
+    )
+)
+@click.argument("kind", type=click.Choice(resources.specs.KINDS))
+@click.argument("name")
+@click.option("--revision", type=int, help="Delete only at this revision.")
+@options.log_option
+@options.operator_option
+@options.key_file_option
+@options.keys_option
+@options.output_option
+@options.pass_environment
+def delete(
+    environment: options.Environment,
+    kind: str,
+    name: str,
+    revision: int | None,
+    log_url: str,
+    operator: str | None,
+    key_file: pathlib.Path | None,
+    keys_file: pathlib.Path | None,
+    output: str,
+) -> None:
+    """Delete one resource."""
+    author = options.load_author(environment, operator, key_file)
+    keys = options.load_keys(keys_file, operator, key_file)
+    current = options.read_configuration(environment, log_url, keys)
+    if (kind, name) not in current.state.resource_by_key:
+        options.stop(options.REFUSED, f"{kind} {name!r} does not exist")
+    change = planning.Change(kind, name, None, revision)
+    _publish(environment, log_url, [change], current, author, keys, output)
+
+
+@click.command(
+    epilog=options.exit_codes(
+        options.REFUSED, options.CONFLICT, options.PENDING, options.UNAVAILABLE
+    )
+)
+@click.option("--instance", metavar="SERVICE/INSTANCE", help="Instance to empty.")
+@click.option("--vm", metavar="VM", help="Entry VM to empty.")
+@click.option("--cancel", is_flag=True, help="Withdraw the order.")
+@options.entry_option
+@options.log_option
+@options.operator_option
+@options.key_file_option
+@options.keys_option
+@options.output_option
+@options.pass_environment
+def drain(
+    environment: options.Environment,
+    instance: str | None,
+    vm: str | None,
+    cancel: bool,
+    entry_url: str | None,
+    log_url: str,
+    operator: str | None,
+    key_file: pathlib.Path | None,
+    keys_file: pathlib.Path | None,
+    output: str,
+) -> None:
+    """Order to empty an instance or an entry VM, or withdraw the order.
+
+    With --entry an entry VM must be known to the VM that is asked.
+    """
+    spec = drain_spec(instance, vm)
+    author = options.load_author(environment, operator, key_file)
+    keys = options.load_keys(keys_file, operator, key_file)
+    current = options.read_configuration(environment, log_url, keys)
+    name = drain_name(spec)
+    if cancel:
+        change = planning.Change("drain_order", name, None)
+        if change.key not in current.state.resource_by_key:
+            options.stop(options.REFUSED, f"no drain order {name!r} exists")
+    else:
+        change = planning.Change("drain_order", name, spec)
+        _check_drain(environment, change, current.state, vm, entry_url, output)
+    _publish(environment, log_url, [change], current, author, keys, output)
+
+
+def drain_spec(instance: str | None, vm: str | None) -> dict[str, str]:
+    """Return the spec of a drain order; raise click.UsageError."""
+    if (instance is None) == (vm is None):
+        raise click.UsageError("give either --instance or --vm")
+    if vm is not None:
+        return {"vm": vm}
+    service, slash, name = str(instance).partition("/")
+    if not slash or not service or not name:
+        raise click.UsageError(f"{instance!r} is not of the form SERVICE/INSTANCE")
+    return {"service": service, "instance": name}
+
+
+def drain_name(spec: dict[str, str]) -> str:
+    """Return the one name for a drain order of this instance or VM."""
+    if "vm" in spec:
+        name = f"vm.{spec['vm']}"
+    else:
+        name = f"instance.{spec['service']}.{spec['instance']}"
+    if len(name) <= LONGEST_NAME:
+        return name
+    digest = hashlib.sha256(name.encode()).hexdigest()[:DIGEST_DIGITS]
+    return f"{name[: LONGEST_NAME - DIGEST_DIGITS - 1]}.{digest}".replace("-.", ".")
+
+
+def _check_drain(
+    environment: options.Environment,
+    change: planning.Change,
+    state: resources.ConfigurationState,
+    vm: str | None,
+    entry_url: str | None,
+    output: str,
+) -> None:
+    known_vms = None
+    if vm is not None and entry_url:
+        observed = environment.fetch_status(entry_url)
+        if isinstance(observed, resources.status.Unobserved):
+            options.stop(options.UNAVAILABLE, f"{entry_url}: {observed.reason}")
+        known_vms = {observed.status["vm"], *observed.status["vms"]}
+    elif vm is not None:
+        click.echo(f"entry VM {vm!r} is not checked; give --entry to check", err=True)
+    value = {"kind": change.kind, "name": change.name, "spec": change.spec}
+    document = validation.Document("(command)", "$", value)
+    findings = resources.validate([document], state, known_vms)
+    if findings:
+        _show_findings(findings, output, 1, 0)
+        raise click.exceptions.Exit(options.REFUSED)
+
+
+def _show_findings(
+    findings: Iterable[outcomes.Finding], output: str, documents: int, files: int
+) -> None:
+    findings = list(findings)
+    if output == "json":
+        options.echo_json({"findings": [finding._asdict() for finding in findings]})
+        return
+    for finding in findings:
+        click.echo(str(finding))
+    if findings:
+        click.echo(f"{len(findings)} findings")
+    else:
+        click.echo(f"{documents} documents in {files} files, no findings")
+
+
+def _show_dry_run(
+    changes: list[planning.Change], state: resources.ConfigurationState, output: str
+) -> None:
+    changes = _ordered(changes, state)
+    sent, decided = publishing.screen(changes, state)
+    published = publishing.Published(decided, resources.Current(state))
+    planned = []
+    for change in sent:
+        resource = state.resource_by_key.get(change.key)
+        found = publishing.conflict_of(change, state).differences if resource else ()
+        planned.append((change, "update" if resource else "create", found))
+    if output == "json":
+        options.echo_json(
+            {
+                "revision": state.revision,
+                "would_write": [
+                    {
+                        "kind": change.kind,
+                        "name": change.name,
+                        "action": action,
+                        "differences": [row._asdict() for row in found],
+                    }
+                    for change, action, found in planned
+                ],
+                "results": [verdicts.as_document(verdict) for verdict in decided],
+            }
+        )
+    else:
+        for change, action, found in planned:
+            click.echo(f"{change.kind} {change.name}: would {action}")
+            for line in tables.difference_lines(found, "new", "present"):
+                click.echo(line)
+        verdicts.show(published, output)
+    raise click.exceptions.Exit(verdicts.exit_code(decided))
+
+
+def _ordered(
+    changes: list[planning.Change], state: resources.ConfigurationState
+) -> list[planning.Change]:
+    planned = planning.order(changes, state)
+    if isinstance(planned, planning.Planned):
+        return list(planned.changes)
+    for (kind, name), problem in planned.problem_by_key.items():
+        click.echo(f"{kind} {name}: {problem}", err=True)
+    options.stop(
+        options.REFUSED,
+        "no order of single writes keeps the configuration valid; "
+        "write an intermediate step first. Nothing was written.",
+    )
+
+
+def _publish(
+    environment: options.Environment,
+    log_url: str,
+    changes: list[planning.Change],
+    current: resources.Current,
+    author: publishing.Author,
+    keys: resources.Keys,
+    output: str,
+) -> None:
+    changes = _ordered(changes, current.state)
+    client = environment.open_log(log_url)
+    try:
+        published = publishing.publish(
+            client, changes, current, author, keys, timing=environment.timing
+        )
+    finally:
+        client.close()
+    verdicts.show(published, output)
+    raise click.exceptions.Exit(verdicts.exit_code(published.verdicts))
--- a/src/wasabivalve/cli/core.py
+++ b/src/wasabivalve/cli/core.py
@@ -4,8 +4,26 @@
 
 import wasabivalve
 
+from . import (
+    completion_command,
+    configuration_commands,
+    observation_commands,
+    report_commands,
+    waiting_commands,
+)
+
 
 @click.group()
 @click.version_option(wasabivalve.__version__)
 def main() -> None:
     """Route requests to servers that own their keys exclusively."""
+
+
+for _module in (
+    configuration_commands,
+    observation_commands,
+    waiting_commands,
+    report_commands,
+    completion_command,
+):
+    _module.add_to(main)
--- /dev/null
+++ b/src/wasabivalve/resources/publishing.py
@@ -0,0 +1,224 @@
+"""Publish changes on the log and find out which took effect."""
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from wasabivalve import platform_log
+from wasabivalve.schema import records_generated
+
+from . import differences, planning, reading, replay, writes
+
+DEFAULT_DEADLINE_MS = 10_000.0
+
+
+class Author(NamedTuple):
+    """Hold what signs and dates the writes of one operator."""
+
+    operator: str
+    key_hex: str
+    new_record_id: Callable[[], str]
+    now_text: Callable[[], str]
+
+
+class Timing(NamedTuple):
+    """Hold the limit of an append in ms, and the clock in s and sleep that it uses."""
+
+    deadline_ms: float = DEFAULT_DEADLINE_MS
+    clock: Callable[[], float] = time.monotonic
+    sleep: Callable[[float], None] = time.sleep
+    generator: random.Random | None = None
+
+
+class Conflict(NamedTuple):
+    """Name the write that won, None for a deletion, and how it differs."""
+
+    winner: replay.Resource | None
+    differences: tuple[differences.Difference, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """State that the change took effect at this revision."""
+
+    change: planning.Change
+    record_id: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unchanged:
+    """State that the resource already is as the change wants it."""
+
+    change: planning.Change
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """State that the change has no effect and will have none.
+
+    ``unavailable`` is true when the log could not be reached.
+    """
+
+    change: planning.Change
+    reason: str
+    conflict: Conflict | None = None
+    unavailable: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """State that the change may or may not take effect."""
+
+    change: planning.Change
+    record_id: str
+    reason: str
+
+
+Verdict = Accepted | Unchanged | Refused | Pending
+
+
+class Published(NamedTuple):
+    """Hold one verdict for each change and the last state that was read."""
+
+    verdicts: tuple[Verdict, ...]
+    current: reading.Current
+
+
+def conflict_of(change: planning.Change, state: replay.ConfigurationState) -> Conflict:
+    """Return the winner over a change and what differs from it."""
+    winner = state.resource_by_key.get(change.key)
+    theirs = winner.spec if winner else differences.ABSENT
+    mine = change.spec if change.spec is not None else differences.ABSENT
+    return Conflict(winner, differences.between(mine, theirs))
+
+
+def screen(
+    changes: Sequence[planning.Change], state: replay.ConfigurationState
+) -> tuple[tuple[planning.Change, ...], tuple[Verdict, ...]]:
+    """Return the changes worth sending, and verdicts for the others."""
+    sent: list[planning.Change] = []
+    decided: list[Verdict] = []
+    for change in changes:
+        resource = state.resource_by_key.get(change.key)
+        revision = resource.revision if resource else replay.NO_REVISION
+        expected = change.expected_revision
+        if (resource.spec if resource else None) == change.spec:
+            decided.append(Unchanged(change, revision))
+        elif expected is not None and expected != revision:
+            reason = f"expected revision {expected}, but the revision is {revision}"
+            decided.append(Refused(change, reason, conflict_of(change, state)))
+        else:
+            sent.append(change._replace(expected_revision=revision))
+    return tuple(sent), tuple(decided)
+
+
+def publish(
+    client: platform_log.LogAppender,
+    changes: Sequence[planning.Change],
+    current: reading.Current,
+    author: Author,
+    keys: reading.Keys,
+    *,
+    stream: str = reading.STREAM,
+    timing: Timing | None = None,
+) -> Published:
+    """Publish changes in their order as one append, then read what took effect.
+
+    A lost response is resolved by reading back. When that fails too, the verdict is
+    `Pending`; the same changes may be published again, since at most one write of
+    each revision takes effect.
+    """
+    timing = timing or Timing()
+    sent, decided = screen(changes, current.state)
+    if not sent:
+        return Published(decided, current)
+    records = [_record(change, author) for change in sent]
+    batch: list[dict[str, Any]] = [dict(record) for record in records]
+    if writes.leads_stream(current.state.next_offset):
+        batch.insert(0, writes.stream_start(author.new_record_id()))
+    resolution = platform_log.append_certainly(
+        client,
+        stream,
+        batch,
+        read_from=current.state.next_offset,
+        deadline_ms=timing.deadline_ms,
+        clock=timing.clock,
+        sleep=timing.sleep,
+        generator=timing.generator,
+    )
+    if isinstance(resolution, platform_log.AppendFailed):
+        reason = f"nothing was written: {resolution.reason}"
+        refused = [Refused(change, reason, unavailable=True) for change in sent]
+        return Published((*decided, *refused), current)
+    return _read_back(client, sent, records, decided, resolution, current, keys, stream)
+
+
+def _record(change: planning.Change, author: Author) -> records_generated.ResourceWrite:
+    return writes.build(
+        change.kind,
+        change.name,
+        change.spec,
+        expected_revision=change.expected_revision or replay.NO_REVISION,
+        operator=author.operator,
+        key_hex=author.key_hex,
+        record_id=author.new_record_id(),
+        written_at=author.now_text(),
+    )
+
+
+def _read_back(
+    client: platform_log.LogAppender,
+    sent: Sequence[planning.Change],
+    records: Sequence[records_generated.ResourceWrite],
+    decided: Sequence[Verdict],
+    resolution: platform_log.AppendProved | platform_log.AppendUnresolved,
+    current: reading.Current,
+    keys: reading.Keys,
+    stream: str,
+) -> Published:
+    after = reading.advance(client, current, keys, stream=stream)
+    if isinstance(after, reading.Unreadable):
+        reason = _pending_reason(resolution, after.reason)
+        after = current
+    else:
+        reason = _pending_reason(resolution, "")
+    entry_by_id: dict[str, reading.Entry] = {}
+    for entry in after.entries:
+        # The first copy of a record counts; later copies are ignored by every reader.
+        entry_by_id.setdefault(str(entry.record.get("record_id")), entry)
+    verdicts = [
+        _verdict(change, record, entry_by_id, after.state, reason)
+        for change, record in zip(sent, records, strict=True)
+    ]
+    return Published((*decided, *verdicts), after)
+
+
+def _pending_reason(
+    resolution: platform_log.AppendProved | platform_log.AppendUnresolved, problem: str
+) -> str:
+    if isinstance(resolution, platform_log.AppendProved):
+        return f"the write is on the log, but its effect is not known: {problem}"
+    return f"the write may be on the log: {problem or resolution.reason}"
+
+
+def _verdict(
+    change: planning.Change,
+    record: records_generated.ResourceWrite,
+    entry_by_id: dict[str, reading.Entry],
+    state: replay.ConfigurationState,
+    pending_reason: str,
+) -> Verdict:
+    entry = entry_by_id.get(record["record_id"])
+    if entry is None:
+        # A snapshot may stand for the record when retention removed it meanwhile.
+        resource = state.resource_by_key.get(change.key)
+        if resource and resource.record_id == record["record_id"]:
+            return Accepted(change, record["record_id"], resource.revision)
+        return Pending(change, record["record_id"], pending_reason)
+    if entry.accepted:
+        return Accepted(change, record["record_id"], entry.offset)
+    return Refused(change, entry.reason, conflict_of(change, state))
--- a/src/wasabivalve/resources/replay.py
+++ b/src/wasabivalve/resources/replay.py
@@ -27,6 +27,7 @@
     operator: str
     written_at: str
     record_id: str
+    record: Mapping[str, Any]
 
 
 class ConfigurationState(NamedTuple):
@@ -59,17 +60,20 @@
     offset: int,
     record: Mapping[str, Any],
     keys_by_operator: Mapping[str, str],
+    trust_unknown_operators: bool = False,
 ) -> Applied:
     """Return the state after the record at an offset; keys are given in hex.
 
     A record that does not take effect is ignored with a reason and no exception.
+    ``trust_unknown_operators`` is for operator commands, which may hold only the key
+    of their own operator: they cannot check the signatures of the others.
     """
     if offset < state.next_offset:
         return Applied(state, False, f"offset {offset} was applied before")
     after = state._replace(next_offset=offset + 1)
     if not isinstance(record, Mapping) or record.get("kind") != "resource_write":
         return Applied(after, False, "record is not a resource write")
-    problem = _authenticity_problem(record, keys_by_operator)
+    problem = _authenticity_problem(record, keys_by_operator, trust_unknown_operators)
     if problem:
         return Applied(after, False, problem)
     record_id = record["record_id"]
@@ -121,6 +125,20 @@
     return resource.revision if resource else NO_REVISION
 
 
+def resource_of(offset: int, record: Mapping[str, Any]) -> Resource:
+    """Return the resource that an accepted write at an offset makes."""
+    return Resource(
+        kind=record["resource_kind"],
+        name=record["name"],
+        revision=offset,
+        spec=types.MappingProxyType(dict(record["spec"])),
+        operator=record["operator"],
+        written_at=record["written_at"],
+        record_id=record["record_id"],
+        record=record,
+    )
+
+
 def _with_key(problem: rules.RuleProblem, written: rules.Key) -> str:
     if problem.key == written:
         return problem.problem
@@ -128,7 +146,9 @@
 
 
 def _authenticity_problem(
-    record: Mapping[str, Any], keys_by_operator: Mapping[str, str]
+    record: Mapping[str, Any],
+    keys_by_operator: Mapping[str, str],
+    trust_unknown_operators: bool,
 ) -> str:
     try:
         msgspec.convert(record, records_generated.ResourceWrite)
@@ -136,6 +156,8 @@
         return f"record does not fit its schema: {error}"
     operator = record["operator"]
     if operator not in keys_by_operator:
+        if trust_unknown_operators:
+            return ""
         return f"operator {operator!r} has no key"
     if not signing.verify(record, keys_by_operator[operator]):
         return f"signature of operator {operator!r} is wrong"
@@ -179,15 +201,7 @@
     if record["deleted"]:
         del resources[key]
     else:
-        resources[key] = Resource(
-            kind=key[0],
-            name=key[1],
-            revision=offset,
-            spec=types.MappingProxyType(dict(record["spec"])),
-            operator=record["operator"],
-            written_at=record["written_at"],
-            record_id=record["record_id"],
-        )
+        resources[key] = resource_of(offset, record)
     return state._replace(
         resource_by_key=types.MappingProxyType(resources), revision=offset
     )
--- /dev/null
+++ b/src/wasabivalve/resources/status.py
@@ -0,0 +1,124 @@
+"""Read the observed state from an entry VM."""
+
+import dataclasses
+from collections.abc import Collection, Mapping
+from typing import Any, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+import urllib3
+
+MAX_REPLY_BYTES = 16 * 1024 * 1024
+# A report older than this no longer shows what the VM does now: VMs report at least
+# every second, and a VM is suspected after 1 s of silence.
+STALE_MS = 3_000.0
+
+
+class VmStatus(TypedDict):
+    """Hold what the asked VM knows of one entry VM."""
+
+    live: bool
+    configuration_revision: int
+    draining: bool
+    age_ms: float
+
+
+class EntryStatus(TypedDict):
+    """Hold the reply of an entry VM."""
+
+    vm: str
+    configuration_revision: int
+    ready: bool
+    draining: bool
+    vms: dict[str, VmStatus]
+    shards: NotRequired[dict[str, Any]]
+    instances: NotRequired[dict[str, Any]]
+    quarantine: NotRequired[list[Any]]
+
+
+class Lag(NamedTuple):
+    """Name a VM that is not known to have a revision in force, and why."""
+
+    vm: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observed:
+    """Carry the status that an entry VM reported."""
+
+    status: EntryStatus
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unobserved:
+    """State why no status is known."""
+
+    reason: str
+
+
+def fetch(url: str, timeout_ms: float = 2_000.0) -> Observed | Unobserved:
+    """Ask the entry VM at a base URL for its status."""
+    pool = urllib3.PoolManager(retries=False)
+    timeout = urllib3.Timeout(total=timeout_ms / 1_000)
+    try:
+        reply = pool.request(
+            "GET", f"{url.rstrip('/')}/-/status", timeout=timeout, preload_content=False
+        )
+        body = reply.read(MAX_REPLY_BYTES)
+        reply.close()
+    except urllib3.exceptions.HTTPError as error:
+        return Unobserved(f"no reply: {error}")
+    finally:
+        pool.clear()
+    if reply.status != 200:
+        return Unobserved(f"status {reply.status}")
+    return parse(body)
+
+
+def parse(body: bytes) -> Observed | Unobserved:
+    """Return the status in a reply."""
+    try:
+        return Observed(msgspec.json.decode(body, type=EntryStatus))
+    except (ValueError, RecursionError) as error:
+        return Unobserved(f"damaged reply: {error}")
+
+
+def lagging(
+    status: EntryStatus, revision: int, expected_vms: Collection[str] = ()
+) -> tuple[Lag, ...]:
+    """Return the VMs that are not known to have this revision in force."""
+    found = {}
+    if status["configuration_revision"] < revision:
+        found[status["vm"]] = f"revision {status['configuration_revision']}"
+    for name, vm in status["vms"].items():
+        problem = _lag(vm, revision) if name != status["vm"] else ""
+        if problem:
+            found[name] = problem
+    for name in expected_vms:
+        if name not in status["vms"] and name != status["vm"]:
+            found[name] = "never reported"
+    return tuple(Lag(name, reason) for name, reason in sorted(found.items()))
+
+
+def _lag(vm: VmStatus, revision: int) -> str:
+    if not vm["live"]:
+        return f"not live, last report {vm['age_ms'] / 1_000:.1f} s ago"
+    if vm["configuration_revision"] < revision:
+        return f"revision {vm['configuration_revision']}"
+    if vm["age_ms"] > STALE_MS:
+        return f"last report {vm['age_ms'] / 1_000:.1f} s ago"
+    return ""
+
+
+def instance_is_empty(status: EntryStatus, service: str, instance: str) -> bool:
+    """Return whether an instance is reported as draining and without requests."""
+    row = status.get("instances", {}).get(f"{service}/{instance}")
+    if not isinstance(row, Mapping) or not row.get("draining"):
+        return False
+    return row.get("in_flight") == 0
+
+
+def vm_is_empty(status: EntryStatus, vm: str) -> bool:
+    """Return whether an entry VM is reported as draining and has left."""
+    row = status["vms"].get(vm)
+    return row is not None and row["draining"] and not row["live"]
--- a/src/wasabivalve/schema/records_generated.py
+++ b/src/wasabivalve/schema/records_generated.py
@@ -50,6 +50,15 @@
     signature: str
 
 
+class LoggedWrite(TypedDict):
+    """
+    Accepted resource write with its offset.
+    """
+
+    offset: int
+    record: ResourceWrite
+
+
 class BurnEntry(TypedDict):
     """
     Counts of one service and rank in one interval.
@@ -137,6 +146,24 @@
     exceptions: list[KeyServers]
 
 
+class ConfigurationSnapshot(TypedDict):
+    """
+    One chunk of the configuration as accepted up to an offset.
+    """
+
+    kind: Literal["configuration_snapshot"]
+    record_id: str
+    snapshot_id: str
+    covers_offset: int
+    revision: int
+    chunk: int
+    chunks: int
+    writes: list[LoggedWrite]
+    recent_record_ids: dict[str, int]
+    operator: str
+    signature: str
+
+
 class BurnSummary(TypedDict):
     """
     Service levels that one VM observed in one interval.
