--- a/src/wasabivalve/cli/core.py
+++ b/src/wasabivalve/cli/core.py
@@ -3,6 +3,7 @@
 import click
 
 import wasabivalve
+from wasabivalve.stand_ins import command as stand_in_command
 
 from . import (
     completion_command,
@@ -27,3 +28,6 @@
     completion_command,
 ):
     _module.add_to(main)
+
+
+main.add_command(stand_in_command.stand_in)
--- a/src/wasabivalve/stand_ins/command.py
+++ b/src/wasabivalve/stand_ins/command.py
@@ -2,7 +2,7 @@
 
 import signal
 import threading
-from typing import Protocol
+from typing import Any, Protocol
 
 import click
 
@@ -125,48 +125,9 @@
 @click.option("--response-bytes", type=click.IntRange(0), default=0, show_default=True)
 @click.option("--poison-marker", default="", help="Text in a body that crashes it.")
 @click.option("--exit-on-crash", is_flag=True, help="End the process at a crash.")
-def run_upstream(
-    grace_ms: float,
-    poison_marker: str,
-    host: str,
-    port: int,
-    name: str,
-    service: str,
-    slots: int,
-    backlog: int,
-    service_time_ms: float,
-    service_time_spread: float,
-    seed: int,
-    cold_start_ms: float,
-    cold_factor: float,
-    probe_ms: float,
-    divided_by_key: bool,
-    checks_fencing: bool,
-    lease_ms: float,
-    response_bytes: int,
-    exit_on_crash: bool,
-) -> None:
+def run_upstream(grace_ms: float, poison_marker: str, **options: Any) -> None:
     """Run one upstream instance."""
-    options = upstream_options.UpstreamOptions(
-        name=name,
-        service=service,
-        host=host,
-        port=port,
-        slots=slots,
-        backlog=backlog,
-        service_time_ms=service_time_ms,
-        service_time_spread=service_time_spread,
-        seed=seed,
-        cold_start_ms=cold_start_ms,
-        cold_factor=cold_factor,
-        probe_ms=probe_ms,
-        divided_by_key=divided_by_key,
-        checks_fencing=checks_fencing,
-        lease_ms=lease_ms,
-        response_bytes=response_bytes,
-        exit_on_crash=exit_on_crash,
-    )
-    instance = upstream.Upstream(options)
+    instance = upstream.Upstream(upstream_options.UpstreamOptions(**options))
     instance.set_faults(poison_marker=poison_marker)
     serve(instance, grace_ms)
 
