Record runs of upstreams in a file

Cause: the demonstration kills upstream processes and still needs their runs, and it passes --no-checks-fencing. Conclusion: histories survive the loss of a process.

--- a/src/wasabivalve/stand_ins/command.py
+++ b/src/wasabivalve/stand_ins/command.py
@@ -115,7 +115,7 @@
 @click.option("--cold-factor", type=click.FloatRange(1), default=3.0, show_default=True)
 @click.option("--probe-ms", type=click.FloatRange(0), default=0.0, show_default=True)
 @click.option("--divided-by-key", is_flag=True, help="Require a lease of the key.")
-@click.option("--checks-fencing/--ignores-fencing", default=True, show_default=True)
+@click.option("--checks-fencing/--no-checks-fencing", default=True, show_default=True)
 @click.option(
     "--lease-ms",
     type=click.FloatRange(0, min_open=True),
@@ -123,6 +123,12 @@
     show_default=True,
 )
 @click.option("--response-bytes", type=click.IntRange(0), default=0, show_default=True)
+@click.option(
+    "--history-file",
+    type=click.Path(dir_okay=False, writable=True),
+    default="",
+    help="File to which each run is appended as a JSON line.",
+)
 @click.option("--poison-marker", default="", help="Text in a body that crashes it.")
 @click.option("--exit-on-crash", is_flag=True, help="End the process at a crash.")
 def run_upstream(grace_ms: float, poison_marker: str, **options: Any) -> None:
--- a/src/wasabivalve/stand_ins/tests/test_log_service.py
+++ b/src/wasabivalve/stand_ins/tests/test_log_service.py
@@ -107,6 +107,27 @@
         assert service.records("control") == ({"record_id": "a"},)
 
 
+def test_racing_appends_with_lost_answers():
+    """An appender would otherwise learn a false offset or lose its record."""
+    names = [f"{writer}-{index}" for writer in range(8) for index in range(20)]
+
+    def append(name):
+        return platform_log.append_certainly(
+            client, "control", [{"record_id": name}], read_from=0, deadline_ms=60_000
+        )
+
+    with (
+        running(seed=3) as (service, client),
+        concurrent.futures.ThreadPoolExecutor(8) as pool,
+    ):
+        service.set_faults(lost_answer_share=0.3)
+        results = list(pool.map(append, names))
+        stored = [record["record_id"] for record in service.records("control")]
+    assert [result.offset_by_record_id for result in results] == [
+        {name: stored.index(name)} for name in names
+    ]
+
+
 def test_close_ends_waiting_requests():
     """A stop would otherwise wait for the longest poll."""
     with (
--- a/src/wasabivalve/stand_ins/tests/test_upstream.py
+++ b/src/wasabivalve/stand_ins/tests/test_upstream.py
@@ -69,9 +69,10 @@
     return control(upstream, "/ownership", command).json()
 
 
-def test_run_is_answered_and_recorded():
+def test_run_is_answered_and_recorded(tmp_path):
     """A caller could otherwise get the response to another request."""
-    with running() as upstream:
+    path = tmp_path / "runs"
+    with running(history_file=str(path)) as upstream:
         reply = call(
             upstream,
             body=b"x",
@@ -85,6 +86,7 @@
         assert stand_ins.Run(**run) == upstream.runs()[0]
         assert upstream.runs()[0][:4] == ("s1", "r1", "i1", "k1")
         assert upstream.runs()[0].committed
+        assert json.loads(path.read_text()) == run
 
 
 def test_excess_is_refused_and_cancelled_work_has_no_effect():
--- a/src/wasabivalve/stand_ins/upstream.py
+++ b/src/wasabivalve/stand_ins/upstream.py
@@ -37,7 +37,7 @@
         """Take options and a clock in seconds that all stand-ins share."""
         self.options = options
         self._clock = clock
-        self._worker = work.Worker(options, self._now)
+        self._worker = work.Worker(options, self._now, self._write_run)
         self._lifecycle = threading.RLock()
         self._timers: list[threading.Timer] = []
         self._closed = True
@@ -108,6 +108,12 @@
         """Return the recorded runs; the oldest are dropped beyond the limit."""
         return self._worker.runs()
 
+    def _write_run(self, run: history.Run) -> None:
+        if self.options.history_file:
+            line = msgspec.json.encode(run._asdict()) + b"\n"
+            with open(self.options.history_file, "ab") as file:
+                file.write(line)
+
     def _now(self) -> float:
         return self._clock() * 1000
 
--- a/src/wasabivalve/stand_ins/upstream_options.py
+++ b/src/wasabivalve/stand_ins/upstream_options.py
@@ -18,7 +18,9 @@
     deviation of its logarithm; 0 for a fixed time). After a start it is multiplied
     by ``cold_factor``, which falls to 1 within ``cold_start_ms``. ``divided_by_key``
     makes requests need a lease of their key. ``exit_on_crash`` makes a poison
-    request end the process; otherwise the upstream stops for a time.
+    request end the process; otherwise the upstream stops for a time. Each run is
+    appended to ``history_file`` as a JSON line before its response is sent, so that
+    the runs of a killed process are known.
     """
 
     name: str
@@ -38,6 +40,7 @@
     lease_ms: float = 700.0
     response_bytes: int = 0
     history_limit: int = 200_000
+    history_file: str = ""
     exit_on_crash: bool = False
 
 
--- a/src/wasabivalve/stand_ins/work.py
+++ b/src/wasabivalve/stand_ins/work.py
@@ -67,11 +67,15 @@
     """Hold the slots, leases and runs of one upstream."""
 
     def __init__(
-        self, options: upstream_options.UpstreamOptions, now: Callable[[], float]
+        self,
+        options: upstream_options.UpstreamOptions,
+        now: Callable[[], float],
+        on_run: Callable[[history.Run], None] = lambda run: None,
     ):
-        """Take options and a clock in ms."""
+        """Take options, a clock in ms and what to tell of each run."""
         self._options = options
         self._now = now
+        self._on_run = on_run
         self._random = random.Random(options.seed)
         self._changed = threading.Condition(threading.RLock())
         self._slots = slots.SlotTable(
@@ -307,6 +311,7 @@
             reason is None,
             reason or "",
         )
+        self._on_run(run)
         self._runs.append(run)
         self._runs_recorded += 1
 
