Bound fault times and drain upstreams before a stop

Cause: a latency beyond the limit of thread timers made appends end with status 500; a request target without a slash would have done so at an upstream; requests that arrived on open connections during a stop were run and then cut off.

--- a/src/wasabivalve/stand_ins/log_service.py
+++ b/src/wasabivalve/stand_ins/log_service.py
@@ -7,11 +7,9 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Annotated, Any, Literal, NamedTuple, TypedDict
+from typing import Any, Literal, NamedTuple, TypedDict
 
-import msgspec
-
-from . import http_server, replies
+from . import fault_values, http_server, replies
 
 THREADS = 64
 # Long polls and hanging requests together leave these threads to all other calls.
@@ -24,9 +22,6 @@
 STREAM_NAME = re.compile(r"[A-Za-z0-9_.-]{1,64}")
 RECORDS_PATH = re.compile(r"/streams/([^/]+)/records")
 
-NotNegative = Annotated[float, msgspec.Meta(ge=0)]
-Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogFaults:
@@ -36,11 +31,11 @@
     share of all appends, that take effect without a response.
     """
 
-    append_latency_ms: NotNegative = 0.0
-    read_latency_ms: NotNegative = 0.0
+    append_latency_ms: fault_values.Duration = 0.0
+    read_latency_ms: fault_values.Duration = 0.0
     outage: Literal["none", "refuse", "hang"] = "none"
-    lost_answers: Annotated[int, msgspec.Meta(ge=0)] = 0
-    lost_answer_share: Share = 0.0
+    lost_answers: fault_values.Count = 0
+    lost_answer_share: fault_values.Share = 0.0
 
 
 class Retention(NamedTuple):
--- a/src/wasabivalve/stand_ins/upstream.py
+++ b/src/wasabivalve/stand_ins/upstream.py
@@ -64,12 +64,13 @@
             self._server.start()
 
     def close(self, grace_ms: float = 2000.0) -> None:
-        """Let running requests finish for at most ``grace_ms`` and stop."""
+        """Drain for at most ``grace_ms`` and stop."""
         with self._lifecycle:
             self._closed = True
             for timer in self._timers:
                 timer.cancel()
             self.freeze(False)
+            self.drain()
             self._server.close(grace_ms)
             self._worker.forget()
 
@@ -146,9 +147,9 @@
         return response._replace(headers=headers)
 
     def _route(self, request: http_server.Request) -> http_server.Response:
-        _, first, *rest = request.path.split("/", 2)
+        first, _, rest = request.path.removeprefix("/").partition("/")
         if request.method == "POST" and first == "cancel" and rest:
-            cancelled = self._worker.cancel(rest[0])
+            cancelled = self._worker.cancel(rest)
             return replies.json_response({"cancelled": cancelled})
         routes = {
             ("GET", "health"): self._show_health,
--- a/src/wasabivalve/stand_ins/upstream_options.py
+++ b/src/wasabivalve/stand_ins/upstream_options.py
@@ -1,14 +1,9 @@
 """Define the options and faults of an upstream."""
 
 import dataclasses
-from typing import Annotated, Any, NamedTuple, TypedDict
+from typing import Any, NamedTuple, TypedDict
 
-import msgspec
-
-NotNegative = Annotated[float, msgspec.Meta(ge=0)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
-Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-Count = Annotated[int, msgspec.Meta(ge=0)]
+from . import fault_values
 
 
 class UpstreamOptions(NamedTuple):
@@ -55,23 +50,23 @@
     ``load_lag_ms`` delays the reported load. ``always_healthy`` hides draining.
     """
 
-    slow_factor: Positive = 1.0
-    lost_answers: Count = 0
-    lost_answer_share: Share = 0.0
-    cut_bodies: Count = 0
-    cut_body_share: Share = 0.0
+    slow_factor: fault_values.Factor = 1.0
+    lost_answers: fault_values.Count = 0
+    lost_answer_share: fault_values.Share = 0.0
+    cut_bodies: fault_values.Count = 0
+    cut_body_share: fault_values.Share = 0.0
     poison_marker: str = ""
-    crash_ms: NotNegative = 500.0
-    reported_load: NotNegative | None = None
-    load_lag_ms: NotNegative = 0.0
+    crash_ms: fault_values.Duration = 500.0
+    reported_load: fault_values.Level | None = None
+    load_lag_ms: fault_values.Duration = 0.0
     always_healthy: bool = False
 
 
 class FaultActions(TypedDict, total=False):
     """Name faults that happen once: a freeze or crash for a time, silence."""
 
-    freeze_for_ms: NotNegative
-    crash_for_ms: NotNegative
+    freeze_for_ms: fault_values.Duration
+    crash_for_ms: fault_values.Duration
     silence_connections: bool
 
 
--- a/src/wasabivalve/stand_ins/vm_list.py
+++ b/src/wasabivalve/stand_ins/vm_list.py
@@ -6,11 +6,9 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Annotated, Any, Literal, NamedTuple, NotRequired, TypedDict
+from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
 
-import msgspec
-
-from . import http_server, replies
+from . import fault_values, http_server, replies
 
 THREADS = 8
 VM_PATH = re.compile(r"/vms/([A-Za-z0-9_.-]{1,64})")
@@ -41,7 +39,7 @@
 class VmListFaults:
     """Set the lag of the list in ms and whether it is down."""
 
-    lag_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    lag_ms: fault_values.Duration = 0.0
     down: bool = False
 
 
