--- a/src/wasabivalve/cli/core.py
+++ b/src/wasabivalve/cli/core.py
@@ -3,6 +3,7 @@
 import click
 
 import wasabivalve
+from wasabivalve.entry import command as entry_command
 from wasabivalve.stand_ins import command as stand_in_command
 
 from . import (
@@ -30,4 +31,5 @@
     _module.add_to(main)
 
 
+main.add_command(entry_command.entry)
 main.add_command(stand_in_command.stand_in)
--- a/src/wasabivalve/entry/configuration.py
+++ b/src/wasabivalve/entry/configuration.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 from wasabivalve import events, platform_log, resources
 
@@ -24,6 +25,7 @@
         self._lock = threading.Lock()
         self._state = resources.EMPTY
         self._view: resources.View | None = None
+        self._gap: _Gap | None = None
 
     @property
     def state(self) -> resources.ConfigurationState:
@@ -38,24 +40,49 @@
         """Apply consecutive records; earlier ones are ignored."""
         with self._lock:
             before = self._state.revision
-            for offset, record in records:
-                if offset > self._state.next_offset and self._state.next_offset:
-                    # A relayed batch may start too late; the log follower fills it.
-                    break
-                applied = resources.apply(
-                    self._state, offset, record, self._keys_by_operator
-                )
-                self._state = applied.state
+            if self._gap is None:
+                self._apply(records)
+            else:
+                self._restore(self._gap, records)
             revision = self._state.revision
-            if revision == before and self._view is not None:
-                return
-            if revision == 0:
+            if revision == 0 or (revision == before and self._view is not None):
                 return
             self._view = resources.view.build(self._state)
             view = self._view
         events.emit(500, revision=revision)
         self._on_change(view)
 
+    def note_gap(self, oldest_offset: int) -> None:
+        """Note that records before an offset were missed.
+
+        The configuration in force stays until a snapshot closes the gap.
+        """
+        with self._lock:
+            if oldest_offset > self._state.next_offset:
+                self._gap = _Gap(oldest_offset, [])
+
+    def _apply(self, records: tuple[platform_log.LoggedRecord, ...]) -> None:
+        for offset, record in records:
+            self._state = resources.apply(
+                self._state, offset, record, self._keys_by_operator
+            ).state
+
+    def _restore(
+        self, gap: "_Gap", records: tuple[platform_log.LoggedRecord, ...]
+    ) -> None:
+        gap.records.extend(records)
+        state = resources.snapshots.restore(
+            gap.records, gap.oldest_offset, self._keys_by_operator, False
+        )
+        if state is not None and state.revision >= self._state.revision:
+            self._state = state
+            self._gap = None
+
+
+class _Gap(NamedTuple):
+    oldest_offset: int
+    records: list[platform_log.LoggedRecord]
+
 
 class LogFollower:
     """Read one stream of the log on a thread and hand on its records."""
--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -64,7 +64,7 @@
                 self._access,
                 streams["configuration_stream"],
                 lambda batch, from_log: self._configuration.take(batch.records),
-                lambda gap: None,
+                lambda gap: self._configuration.note_gap(gap.oldest_offset),
             )
         ]
         self._path = request_path.RequestPath(
--- a/src/wasabivalve/stand_ins/command.py
+++ b/src/wasabivalve/stand_ins/command.py
@@ -124,6 +124,7 @@
 )
 @click.option("--response-bytes", type=click.IntRange(0), default=0, show_default=True)
 @click.option("--poison-marker", default="", help="Text in a body that crashes it.")
+@click.option("--history-file", default="", help="File that records each run.")
 @click.option("--exit-on-crash", is_flag=True, help="End the process at a crash.")
 def run_upstream(grace_ms: float, poison_marker: str, **options: Any) -> None:
     """Run one upstream instance."""
--- a/src/wasabivalve/stand_ins/upstream_options.py
+++ b/src/wasabivalve/stand_ins/upstream_options.py
@@ -18,7 +18,8 @@
     deviation of its logarithm; 0 for a fixed time). After a start it is multiplied
     by ``cold_factor``, which falls to 1 within ``cold_start_ms``. ``divided_by_key``
     makes requests need a lease of their key. ``exit_on_crash`` makes a poison
-    request end the process; otherwise the upstream stops for a time.
+    request end the process; otherwise the upstream stops for a time. Each run is
+    appended to ``history_file``, so that the record outlives the process.
     """
 
     name: str
@@ -39,6 +40,7 @@
     response_bytes: int = 0
     history_limit: int = 200_000
     exit_on_crash: bool = False
+    history_file: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wasabivalve/stand_ins/work.py
+++ b/src/wasabivalve/stand_ins/work.py
@@ -309,6 +309,9 @@
         )
         self._runs.append(run)
         self._runs_recorded += 1
+        if self._options.history_file:
+            with open(self._options.history_file, "ab") as file:
+                file.write(msgspec.json.encode(run._asdict()) + b"\n")
 
     def _check_crash(self, reason: str) -> None:
         if reason == CRASHED:
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -203,7 +203,7 @@
         if service.divided_by_key:
             arguments.append("--divided-by-key")
         if not service.checks_fencing:
-            arguments.append("--no-checks-fencing")
+            arguments.append("--ignores-fencing")
         self._spawn(instance.name, *arguments)
 
     def _data_centre(self, index: int) -> str:
