Let heartbeats name the VMs that their sender hears

Cause: record holders must leave out a VM that is heard but does not hear. Change: field hears in the heartbeat message. Conclusion: views can require both directions.

--- a/src/wasabivalve/schema/messages_generated.py
+++ b/src/wasabivalve/schema/messages_generated.py
@@ -48,6 +48,7 @@
     configuration_revision: int
     control_offset: int
     draining: bool
+    hears: list[str]
 
 
 class Probe(TypedDict):
