--- a/src/wasabivalve/ownership/authority.py
+++ b/src/wasabivalve/ownership/authority.py
@@ -70,11 +70,13 @@
             self._until = float("-inf")
         self._log_read_at = now
         if not state.complete:
+            self._until = float("-inf")
+            self._first_offset = None
             return
         if self._first_offset is None:
             self._first_offset = state.next_offset
         before, self.state = self.state, state.shard(self.shard)
-        reset = self.state.reset_offset != before.reset_offset
+        reset = self.state.reset_offset > before.reset_offset
         if not reset and self.state.term == before.term:
             return
         controllers = self.state.controllers
@@ -101,6 +103,12 @@
         """Return whether a term claim is needed and its endorsements are there."""
         return self._next_position() is None and bool(self.endorsements(now))
 
+    def on_superseded(self, term: int, position: int) -> None:
+        """Stop: a server has obeyed a later controller of this shard."""
+        rank = promises.Rank(self.state.group_revision, term, position)
+        self._highest = max(self._highest, rank)
+        self._until = float("-inf")
+
     def revision_is_confirmed(self, now: float) -> bool:
         """Return whether a majority knows the revision that this VM acts on."""
         return self._majority_end(self._current(self.state.revision)) > now
--- a/src/wasabivalve/ownership/replay.py
+++ b/src/wasabivalve/ownership/replay.py
@@ -54,11 +54,13 @@
     """Hold the agreed state of all shards before ``next_offset``.
 
     A state that is not ``complete`` misses records and must not be acted on.
+    ``snapshot_offset`` is that of the last snapshot record.
     """
 
     next_offset: int = 0
     shard_by_name: Mapping[str, Shard] = dataclasses.field(default_factory=dict)
     recent_record_ids: tuple[str, ...] = ()
+    snapshot_offset: int = 0
     complete: bool = True
     gap_start: int = 0
     records_after_gap: tuple[tuple[int, Mapping[str, Any]], ...] = ()
@@ -105,6 +107,8 @@
 def _apply_in_order(
     state: ControlState, offset: int, record: Mapping[str, Any]
 ) -> Applied:
+    if record.get("kind") == "snapshot":
+        state = dataclasses.replace(state, snapshot_offset=offset)
     problem = _problem_of_envelope(record)
     if problem is not None:
         return Applied(state, False, problem)
@@ -163,7 +167,10 @@
     for earlier, kept_record in state.records_after_gap:
         if earlier >= parts.covers_offset:
             restored = apply(restored, earlier, kept_record).state
-    return Applied(dataclasses.replace(restored, next_offset=offset + 1), True)
+    restored = dataclasses.replace(
+        restored, next_offset=offset + 1, snapshot_offset=offset
+    )
+    return Applied(restored, True)
 
 
 def _with_chunk(state: ControlState, record: Mapping[str, Any]) -> SnapshotParts | None:
@@ -271,7 +278,12 @@
     problem = _problem_of_endorsements(shard, record)
     if problem is not None:
         return problem
-    return shard._replace(term=offset, controllers=tuple(record["controllers"]))
+    reset_offset = -1 if record["reset_is_over"] else shard.reset_offset
+    return shard._replace(
+        term=offset,
+        controllers=tuple(record["controllers"]),
+        reset_offset=reset_offset,
+    )
 
 
 def _assignment(shard: Shard, offset: int, record: Mapping[str, Any]) -> Shard | str:
--- a/src/wasabivalve/ownership/server_lease.py
+++ b/src/wasabivalve/ownership/server_lease.py
@@ -102,6 +102,11 @@
         piece = self._piece_at(key_ranges.position_of_key(key), now)
         return self._refusal(piece, request_token)
 
+    def token_of(self, key: str, now: float) -> tokens.Token | None:
+        """Return the token of the grant that covers a key, None when none does."""
+        piece = self._piece_at(key_ranges.position_of_key(key), now)
+        return None if piece is None else piece.held.token
+
     def started(self, key: str) -> None:
         """Count a running request; its range is not revoked before it finishes."""
         position = key_ranges.position_of_key(key)
@@ -174,13 +179,15 @@
         return True
 
     def _revoke(self, ranges: tuple[HeldRange, ...]) -> bool:
-        """Drop ranges, unless a request is still running in one of them."""
-        for wanted in ranges:
-            if any(wanted.start <= at < wanted.end for at in self._running):
-                return False
-        pieces = _split(self._pieces, ranges)
-        self._pieces = [piece for piece in pieces if not _covered(piece, ranges)]
-        return True
+        """Drop the ranges in which no request runs; return whether all are free."""
+        free = tuple(
+            wanted
+            for wanted in ranges
+            if not any(wanted.start <= at < wanted.end for at in self._running)
+        )
+        pieces = _split(self._pieces, free)
+        self._pieces = [piece for piece in pieces if not _covered(piece, free)]
+        return len(free) == len(ranges)
 
     def _end_of_lease(self, stamp: float, now: float) -> float | None:
         """Return the end of a lease from an echoed stamp, None if it is over."""
--- a/src/wasabivalve/ownership/tests/test_replay.py
+++ b/src/wasabivalve/ownership/tests/test_replay.py
@@ -36,6 +36,7 @@
         "previous_term": previous,
         "group_revision": revision,
         "controllers": ["a", "b"],
+        "reset_is_over": False,
         "endorsements": endorsements(by, revision),
     }
 
--- a/src/wasabivalve/schema/records_generated.py
+++ b/src/wasabivalve/schema/records_generated.py
@@ -106,6 +106,7 @@
     group_revision: int
     controllers: list[str]
     endorsements: list[Endorsement]
+    reset_is_over: bool
 
 
 class Assignment(TypedDict):
