--- a/src/wasabivalve/cli/options.py
+++ b/src/wasabivalve/cli/options.py
@@ -53,7 +53,9 @@
 
 def exit_codes(*codes: int) -> str:
     """Return the text on exit codes that ends the help of a command."""
-    rows = (f"{code} {TEXT_BY_EXIT_CODE[code]}" for code in sorted({DONE, USAGE, *codes}))
+    rows = (
+        f"{code} {TEXT_BY_EXIT_CODE[code]}" for code in sorted({DONE, USAGE, *codes})
+    )
     return f"Exit codes: {'; '.join(rows)}."
 
 
--- a/src/wasabivalve/resources/publishing.py
+++ b/src/wasabivalve/resources/publishing.py
@@ -221,4 +221,7 @@
         return Pending(change, record["record_id"], pending_reason)
     if entry.accepted:
         return Accepted(change, record["record_id"], entry.offset)
-    return Refused(change, entry.reason, conflict_of(change, state))
+    before = entry.before.revision if entry.before else replay.NO_REVISION
+    lost_race = before != change.expected_revision
+    conflict = conflict_of(change, state) if lost_race else None
+    return Refused(change, entry.reason, conflict)
--- /dev/null
+++ b/src/wasabivalve/resources/tests/test_resource_reading.py
@@ -0,0 +1,251 @@
+"""Guard publishing, planning, snapshots and status against wrong conclusions."""
+
+import itertools
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wasabivalve import platform_log, resources
+from wasabivalve.resources import planning, publishing, snapshots, status
+
+KEY = "11" * 32
+KEYS = resources.Keys({"ada": KEY})
+RANK = {"order": 0, "floor": 0.1, "target_ms": 20, "objective": 0.9}
+
+
+class PlainLog:
+    """Hold a stream of which retention may remove the oldest records."""
+
+    def __init__(self):
+        self.records, self.oldest, self.broken = [], 0, None
+
+    def append(self, stream, records):
+        if self.broken:
+            return self.broken
+        self.records += records
+        return platform_log.Appended(len(self.records) - len(records))
+
+    def read(self, stream, offset, wait_ms=0.0, limit=1000):
+        if offset < self.oldest:
+            return platform_log.Gap(self.oldest)
+        rows = enumerate(self.records[offset : offset + limit], start=offset)
+        found = tuple(platform_log.LoggedRecord(*row) for row in rows)
+        return platform_log.ReadBatch(found, offset + len(found), self.oldest)
+
+
+def author(prefix="first", operator="ada"):
+    ids = itertools.count()
+    return publishing.Author(
+        operator, KEY, lambda: f"{prefix}-{next(ids)}", lambda: "now"
+    )
+
+
+def timing():
+    ticks = itertools.count()
+    return publishing.Timing(50.0, lambda: next(ticks) / 1_000, lambda seconds: None)
+
+
+def rank(name, order, floor=0.1, **more):
+    spec = RANK | {"order": order, "floor": floor}
+    return planning.Change("traffic_rank", name, spec, **more)
+
+
+def publish(log, *changes, current=None, by=None):
+    current = current or resources.read_all(log, KEYS)
+    by = by or author()
+    return resources.publish(log, changes, current, by, KEYS, timing=timing())
+
+
+def test_a_file_is_one_append_with_a_marker_before_the_first_write():
+    log = PlainLog()
+    published = publish(log, rank("u", 0), rank("v", 1))
+    assert [verdict.revision for verdict in published.verdicts] == [1, 2]
+    assert log.records[0]["kind"] == "stream_start"
+    again = publish(log, rank("u", 0), by=author("second"))
+    assert isinstance(again.verdicts[0], resources.Unchanged)
+    assert len(log.records) == 3
+
+
+def test_a_conflict_names_the_winner_and_the_difference():
+    log = PlainLog()
+    stale = resources.read_all(log, KEYS)
+    publish(log, rank("u", 0, 0.2))
+    change, by = rank("u", 0, 0.3), author("second")
+    (verdict,) = publish(log, change, current=stale, by=by).verdicts
+    assert verdict.reason == "expected revision 0, but the revision is 1"
+    assert verdict.conflict.winner.operator == "ada"
+    (difference,) = verdict.conflict.differences
+    assert difference == ("$.spec.floor", 0.3, 0.2)
+
+
+def test_a_write_without_a_known_key_is_refused_without_a_winner():
+    log = PlainLog()
+    (verdict,) = publish(log, rank("u", 0), by=author(operator="eve")).verdicts
+    assert "has no key" in verdict.reason
+    assert verdict.conflict is None
+
+
+@pytest.mark.parametrize(
+    ("broken", "outcome"),
+    [
+        (platform_log.LogUnavailable("down"), resources.Refused),
+        (platform_log.AppendUnknown("lost"), resources.Pending),
+    ],
+)
+def test_the_outcome_of_a_failing_log_is_never_guessed(broken, outcome):
+    log = PlainLog()
+    log.broken = broken
+    published = publish(log, rank("u", 0))
+    assert isinstance(published.verdicts[0], outcome)
+
+
+def test_writes_are_ordered_so_that_each_state_is_valid():
+    log = PlainLog()
+    first = publish(log, rank("u", 0, 0.8), rank("v", 1, 0.1))
+    state = first.current.state
+    planned = planning.order([rank("v", 1, 0.6), rank("u", 0, 0.3)], state)
+    assert [change.name for change in planned.changes] == ["u", "v"]
+    swapped = planning.order([rank("u", 1), rank("v", 0)], state)
+    assert isinstance(swapped, planning.Unplannable)
+
+
+def with_snapshot(log, writes_per_chunk=1):
+    current = resources.read_all(log, KEYS)
+    ids = (f"snapshot-{number}" for number in itertools.count())
+    chunks = snapshots.build(
+        current.state,
+        operator="ada",
+        key_hex=KEY,
+        new_record_id=lambda: next(ids),
+        writes_per_chunk=writes_per_chunk,
+    )
+    return current.state, json.loads(json.dumps(chunks))
+
+
+@pytest.mark.parametrize("chunk_size", [1, 50])
+def test_a_snapshot_restores_revisions_and_refuses_old_ids(chunk_size):
+    """A reader that starts after retention must agree with all the others."""
+    log = PlainLog()
+    publish(log, rank("u", 0), rank("v", 1))
+    repeated = log.records[1]
+    state, chunks = with_snapshot(log, chunk_size)
+    log.oldest = len(log.records)
+    log.records += [repeated, *chunks]
+    current = resources.read_all(log, KEYS)
+    assert current.state.revision == state.revision == 2
+    assert {
+        key: row.revision for key, row in current.state.resource_by_key.items()
+    } == {
+        ("traffic_rank", "u"): 1,
+        ("traffic_rank", "v"): 2,
+    }
+    assert not any(entry.accepted for entry in current.entries)
+    published = publish(log, rank("u", 0, 0.3), by=author("second"), current=current)
+    assert published.verdicts[0].revision == len(log.records) - 1
+
+
+def incomplete(chunks):
+    return chunks[:-1]
+
+
+def forged(chunks):
+    return [chunks[0] | {"revision": 99}, *chunks[1:]]
+
+
+def too_old(chunks):
+    return [chunk | {"covers_offset": 0} for chunk in chunks]
+
+
+@pytest.mark.parametrize("damage", [incomplete, forged, too_old])
+def test_a_reader_with_a_gap_refuses_a_damaged_snapshot(damage):
+    """Acting on part of the configuration would revert the rest."""
+    log = PlainLog()
+    publish(log, rank("u", 0), rank("v", 1))
+    _, chunks = with_snapshot(log)
+    log.oldest = len(log.records)
+    log.records += damage(chunks)
+    assert isinstance(resources.read_all(log, KEYS), resources.Unreadable)
+
+
+def vm(live=True, revision=5, age=10.0, draining=False):
+    return {
+        "live": live,
+        "configuration_revision": revision,
+        "draining": draining,
+        "age_ms": age,
+    }
+
+
+def entry_status(**vms):
+    return {
+        "vm": "a",
+        "configuration_revision": 5,
+        "ready": True,
+        "draining": False,
+        "vms": vms,
+    }
+
+
+@pytest.mark.parametrize(
+    ("other", "reason"),
+    [
+        (vm(revision=4), "revision 4"),
+        (vm(live=False), "not live"),
+        (vm(age=9_000.0), "9.0 s ago"),
+    ],
+)
+def test_a_vm_that_lags_is_named(other, reason):
+    (lag,) = status.lagging(entry_status(a=vm(), b=other), 5)
+    assert lag.vm == "b"
+    assert reason in lag.reason
+    assert not status.lagging(entry_status(a=vm(), b=vm()), 5)
+
+
+def test_a_damaged_status_is_no_status():
+    assert isinstance(status.parse(b'{"vm": 3}'), status.Unobserved)
+    assert isinstance(status.parse(b"{"), status.Unobserved)
+
+
+WRITES = st.lists(
+    st.tuples(
+        st.sampled_from("uv"),
+        st.one_of(st.none(), st.sampled_from([0.1, 0.6])),
+        st.integers(0, 6),
+        st.integers(0, 5),
+    ),
+    max_size=12,
+)
+
+
+@given(WRITES)
+def test_replay_keeps_its_rules_for_any_sequence(writes):
+    """Readers that differ on one record would run different configurations."""
+    state, seen = resources.EMPTY, set()
+    for offset, (name, floor, expected, record_id) in enumerate(writes, start=1):
+        spec = None if floor is None else RANK | {"floor": floor, "order": ord(name)}
+        record = resources.writes.build(
+            "traffic_rank",
+            name,
+            spec,
+            expected_revision=expected,
+            operator="ada",
+            key_hex=KEY,
+            record_id=str(record_id),
+            written_at="",
+        )
+        present = resources.replay.revision_of(state, "traffic_rank", name)
+        applied = resources.apply(state, offset, record, KEYS.by_operator)
+        if applied.accepted:
+            assert present == expected
+            assert record_id not in seen
+            assert applied.state.revision == offset
+        else:
+            assert applied.reason
+            assert applied.state.resource_by_key == state.resource_by_key
+            assert applied.state.revision == state.revision
+        seen.add(record_id)
+        state = applied.state
+        floors = [row.spec["floor"] for row in state.resource_by_key.values()]
+        assert sum(floors) <= 1.0
