--- a/src/wasabivalve/ownership/hot_keys.py
+++ b/src/wasabivalve/ownership/hot_keys.py
@@ -112,6 +112,22 @@
         self._scale(1.0)
 
 
+def increments(
+    earlier: Iterable[HotKey], later: Iterable[HotKey], halvings: int = 0
+) -> dict[str, float]:
+    """Return the requests that certainly came between two reports of a sketch.
+
+    ``halvings`` is how often the sketch was halved between them.
+    """
+    certain = {
+        entry.key: (entry.requests - entry.error) * 0.5**halvings for entry in earlier
+    }
+    return {
+        entry.key: max(0.0, entry.requests - entry.error - certain.get(entry.key, 0.0))
+        for entry in later
+    }
+
+
 def restore(
     entries: Iterable[HotKey],
     total: float,
--- a/src/wasabivalve/ownership/key_ranges.py
+++ b/src/wasabivalve/ownership/key_ranges.py
@@ -204,5 +204,5 @@
         # Each block of ranges holds every server once, in an order of its own.
         block, place = divmod(index, len(names))
         owner = rendezvous.rank_names(f"block {block}", names)[place]
-        ranges.append(KeyRange(bounds[index], bounds[index + 1], choose(owner)))
+        ranges.append(KeyRange(bounds[index], bounds[index + 1], choose([owner], 1.0)))
     return RangeMap(ranges)
--- a/src/wasabivalve/ownership/successors.py
+++ b/src/wasabivalve/ownership/successors.py
@@ -5,47 +5,54 @@
 
 from wasabivalve.routing import rendezvous
 
+Choose = Callable[[Sequence[str], float], tuple[str, ...]]
+
 
 def chooser(
     servers: Sequence[str],
     data_centre_by_server: Mapping[str, str],
     list_length: int,
-    committed: Iterable[Sequence[str]] = (),
-) -> Callable[[str], tuple[str, ...]]:
-    """Return a function that extends an owner to a list with its successors.
-
-    A list takes servers in data centres that it does not have yet, where possible;
-    among those, the one that follows this owner least often, so that the loss of a
-    server spreads its share evenly. ``committed`` holds the lists already in force.
+    load_by_server: Mapping[str, float] | None = None,
+    committed: Iterable[tuple[Sequence[str], float]] = (),
+) -> Choose:
+    """Return a function that extends a list, which starts with its owner.
+
+    The function takes the list and the load of the range or key; ``committed`` holds
+    the lists in force with the loads of their ranges. A list takes servers in data
+    centres that it does not have yet, where possible; among those, the one with the
+    least load after the loss of the owner, so that a loss spreads the owner's share
+    evenly.
     """
-    uses: collections.Counter[tuple[int, str, str]] = collections.Counter()
+    base = load_by_server or {}
+    inherited: dict[tuple[int, str, str], float] = collections.defaultdict(float)
     order_by_owner: dict[str, tuple[str, ...]] = {}
 
-    def count(servers_of_range: Sequence[str]) -> None:
-        for place, name in enumerate(servers_of_range[1:], 1):
-            uses[place, servers_of_range[0], name] += 1
-
     def next_server(order: Sequence[str], chosen: Sequence[str]) -> str:
         used = collections.Counter(map(data_centre_by_server.get, chosen))
         place, owner = len(chosen), chosen[0]
 
-        def preference(name: str) -> tuple[int, int]:
-            return used[data_centre_by_server.get(name)], uses[place, owner, name]
+        def preference(name: str) -> tuple[int, float]:
+            load = base.get(name, 0.0) + inherited[place, owner, name]
+            return used[data_centre_by_server.get(name)], load
 
         return min((name for name in order if name not in chosen), key=preference)
 
-    def choose(owner: str) -> tuple[str, ...]:
+    def commit(chosen: Sequence[str], load: float) -> None:
+        for place, name in enumerate(chosen[1:], 1):
+            inherited[place, chosen[0], name] += load
+
+    def choose(kept: Sequence[str], load: float) -> tuple[str, ...]:
+        owner = kept[0]
         order = order_by_owner.get(owner)
         if order is None:
             order = rendezvous.rank_names(f"after {owner}", {owner, *servers})
             order_by_owner[owner] = order
-        chosen = [owner]
+        chosen = list(kept)
         while len(chosen) < min(list_length, len(order)):
             chosen.append(next_server(order, chosen))
-        count(chosen)
+        commit(chosen, load)
         return tuple(chosen)
 
-    for servers_of_range in committed:
-        if servers_of_range:
-            count(servers_of_range)
+    for servers_of_range, load in committed:
+        commit(servers_of_range, load)
     return choose
