--- a/src/wasabivalve/stand_ins/upstream_options.py
+++ b/src/wasabivalve/stand_ins/upstream_options.py
@@ -35,8 +35,8 @@
     lease_ms: float = 700.0
     response_bytes: int = 0
     history_limit: int = 200_000
-    history_file: str = ""
     exit_on_crash: bool = False
+    history_file: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wasabivalve/stand_ins/work.py
+++ b/src/wasabivalve/stand_ins/work.py
@@ -70,12 +70,10 @@
         self,
         options: upstream_options.UpstreamOptions,
         now: Callable[[], float],
-        on_run: Callable[[history.Run], None] = lambda run: None,
     ):
-        """Take options, a clock in ms and what to tell of each run."""
+        """Take options and a clock in ms."""
         self._options = options
         self._now = now
-        self._on_run = on_run
         self._random = random.Random(options.seed)
         self._changed = threading.Condition(threading.RLock())
         self._slots = slots.SlotTable(
@@ -311,9 +309,11 @@
             reason is None,
             reason or "",
         )
-        self._on_run(run)
         self._runs.append(run)
         self._runs_recorded += 1
+        if self._options.history_file:
+            with open(self._options.history_file, "ab") as file:
+                file.write(msgspec.json.encode(run._asdict()) + b"\n")
 
     def _check_crash(self, reason: str) -> None:
         if reason == CRASHED:
