Run the shard controllers in the entry process

Cause: keys of divided services had no owner. Change: shards.py carries out controller decisions; owner tables name the last position in place of the end; a failed control actor stops the process.

--- a/src/wasabivalve/entry/command.py
+++ b/src/wasabivalve/entry/command.py
@@ -12,6 +12,7 @@
 from . import core
 
 EXIT_SETTINGS = 2
+EXIT_FAILED = 70
 
 
 @click.command()
@@ -25,7 +26,10 @@
 @click.option("--log-level", default="INFO", show_default=True, help="Least level.")
 @click.option("--log-json", is_flag=True, help="Write log events as JSON.")
 def entry(path: pathlib.Path, log_level: str, log_json: bool) -> None:
-    """Run one entry process until SIGTERM; exit with 2 for bad settings."""
+    """Run one entry process until SIGTERM; exit with 2 for bad settings.
+
+    Exit with 70 after control has failed; the platform starts a new process.
+    """
     events.configure(log_level, log_json)
     loaded = settings.load(path)
     if isinstance(loaded, settings.Rejected):
@@ -35,8 +39,15 @@
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    daemon = core.EntryDaemon(loaded.settings)
+    failed = threading.Event()
+
+    def stop_as_failed() -> None:
+        failed.set()
+        stopped.set()
+
+    daemon = core.EntryDaemon(loaded.settings, stop_as_failed)
     daemon.start()
     click.echo("ready")
     stopped.wait()
     daemon.close()
+    sys.exit(EXIT_FAILED if failed.is_set() else 0)
--- a/src/wasabivalve/entry/control.py
+++ b/src/wasabivalve/entry/control.py
@@ -7,10 +7,18 @@
 
 import pykka
 
-from wasabivalve import events, membership, peers, routing
+from wasabivalve import (
+    events,
+    membership,
+    peers,
+    platform_log,
+    resources,
+    routing,
+)
+from wasabivalve.ownership import decisions
 from wasabivalve.schema import messages_generated, settings_generated
 
-from . import clock
+from . import clock, shards
 
 TICK_MS = 25.0
 
@@ -25,6 +33,31 @@
     incoming: peers.Incoming
 
 
+class LogBatch(NamedTuple):
+    """Hand records of the control stream to the actor."""
+
+    batch: platform_log.ReadBatch
+    from_log: bool
+
+
+class LogGap(NamedTuple):
+    """Tell the actor that records of the control stream were missed."""
+
+    oldest_offset: int
+
+
+class ConfigurationChanged(NamedTuple):
+    """Hand a new configuration to the actor."""
+
+    view: resources.View
+
+
+class ServerReplied(NamedTuple):
+    """Hand the reply of a server to the actor, None when nothing listens there."""
+
+    event: decisions.OwnershipReplied
+
+
 class Published(NamedTuple):
     """Hold what the request path reads of control; never changed, only replaced."""
 
@@ -33,6 +66,8 @@
     configuration_revision_by_vm: dict[str, int]
     draining_vms: frozenset[str]
     heard_at_by_vm: dict[str, float]
+    mutual_vms: frozenset[str]
+    shards: dict[str, Any]
 
 
 class ControlActor(pykka.ThreadingActor):
@@ -47,8 +82,14 @@
         configuration_revision: Callable[[], int],
         is_draining: Callable[[], bool],
         on_publish: Callable[[Published], None],
+        make_shards: Callable[[float], shards.Shards],
+        on_failed: Callable[[], None],
     ):
         super().__init__()
+        self._settings = settings
+        self._shards = make_shards(clock.monotonic_ms())
+        self._on_failed = on_failed
+        self._hears_by_vm: dict[str, frozenset[str]] = {}
         self._vm = settings["vm"]
         self._bus = bus
         self._heartbeat_ms = settings["timing"]["heartbeat_ms"]
@@ -76,6 +117,15 @@
             self._tick()
         elif isinstance(message, Received):
             self._receive(message.incoming)
+        elif isinstance(message, LogBatch):
+            now = clock.monotonic_ms()
+            self._shards.on_log(message.batch, message.from_log, now)
+        elif isinstance(message, LogGap):
+            self._shards.on_log_gap(message.oldest_offset)
+        elif isinstance(message, ConfigurationChanged):
+            self._shards.on_configuration(message.view, clock.monotonic_ms())
+        elif isinstance(message, ServerReplied):
+            self._shards.on_server_reply(message.event, clock.monotonic_ms())
 
     def on_failure(
         self,
@@ -83,8 +133,12 @@
         exception_value: BaseException | None,
         traceback: Any,
     ) -> None:
-        """Log the exception that ended the actor."""
+        """Log the exception that ended the actor and stop the process.
+
+        A process without control would serve with ever older owner tables.
+        """
         events.emit(5, error=repr(exception_value), actor="control")
+        self._on_failed()
 
     def _tick(self) -> None:
         now = clock.monotonic_ms()
@@ -93,8 +147,24 @@
             self._send_heartbeats()
         for action in self._membership.tick(now):
             self._act(action)
+        self._tell_shards(now)
         self._publish(now)
 
+    def on_stop(self) -> None:
+        """Stop the threads of the shards."""
+        self._shards.close()
+
+    def _tell_shards(self, now: float) -> None:
+        declared = places(self._settings)
+        live = self._membership.live_by_name
+        vms = list(declared)
+        if self._membership.has_majority(now):
+            vms = [vm for vm in declared if live.get(vm)]
+        # A VM that is cut off sees all others fail; it must not replace the group.
+        self._shards.on_vms(vms, declared, now)
+        others = [vm for vm, is_live in live.items() if is_live and vm != self._vm]
+        self._shards.tick(others, now)
+
     def _act(self, action: membership.Action) -> None:
         if isinstance(action, membership.Change):
             events.emit(101 if action.live else 102, vm=action.vm, reason=action.reason)
@@ -129,6 +199,8 @@
                 message["alive"],
                 now,
             )
+        else:
+            self._shards.on_message(incoming, now)
 
     def _on_heartbeat(
         self, sender: str, message: messages_generated.Heartbeat, now: float
@@ -136,6 +208,7 @@
         self._membership.on_heartbeat(sender, message["incarnation"], now)
         self._revision_by_vm[sender] = message["configuration_revision"]
         self._heard_at_by_vm[sender] = now
+        self._hears_by_vm[sender] = frozenset(message["hears"])
         if message["draining"]:
             self._draining_vms |= {sender}
         else:
@@ -148,8 +221,13 @@
             "incarnation": self._incarnation,
             "sequence": self._sequence,
             "configuration_revision": self._configuration_revision(),
-            "control_offset": 0,
+            "control_offset": self._shards.next_offset,
             "draining": self._is_draining(),
+            "hears": [
+                vm
+                for vm in self._membership.heartbeat_targets
+                if self._membership.live_by_name.get(vm)
+            ],
         }
         for vm in self._membership.heartbeat_targets:
             self._bus.send(vm, "heartbeat", heartbeat)
@@ -171,6 +249,22 @@
                 },
                 self._draining_vms,
                 dict(self._heard_at_by_vm),
+                self._mutual_vms(),
+                self._shards.describe(now),
+            )
+        )
+
+    def _mutual_vms(self) -> frozenset[str]:
+        """Return the live VMs that hear this one, as far as they watch it."""
+        watchers = set(self._membership.heartbeat_targets)
+        return frozenset(
+            vm
+            for vm, live in self._membership.live_by_name.items()
+            if live
+            and (
+                vm == self._vm
+                or vm not in watchers
+                or self._vm in self._hears_by_vm.get(vm, frozenset())
             )
         )
 
@@ -198,10 +292,8 @@
             self._work()
 
 
-def place_by_live_vm(
-    settings: settings_generated.Settings, published: Published
-) -> dict[str, routing.Place]:
-    """Return the places of the live VMs that are not draining."""
+def places(settings: settings_generated.Settings) -> dict[str, routing.Place]:
+    """Return the places of all declared entry VMs, this one included."""
     region_by_data_centre = {
         data_centre: region
         for region, names in settings["regions"].items()
@@ -212,5 +304,15 @@
     return {
         vm: routing.Place(data_centre, region_by_data_centre.get(data_centre, ""))
         for vm, data_centre in data_centre_by_vm.items()
+    }
+
+
+def place_by_live_vm(
+    settings: settings_generated.Settings, published: Published
+) -> dict[str, routing.Place]:
+    """Return the places of the live VMs that are not draining."""
+    return {
+        vm: place
+        for vm, place in places(settings).items()
         if published.live_by_vm.get(vm) and vm not in published.draining_vms
     }
--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -2,9 +2,21 @@
 
 import random
 import threading
+from collections.abc import Callable
 from typing import Any
 
-from wasabivalve import events, metrics, outcomes, peers, platform_log, resources
+import pykka
+
+from wasabivalve import (
+    events,
+    metrics,
+    outcomes,
+    ownership,
+    peers,
+    platform_log,
+    resources,
+)
+from wasabivalve.ownership import decisions
 from wasabivalve.schema import settings_generated
 
 from . import (
@@ -18,6 +30,8 @@
     owners,
     permits,
     request_path,
+    server_commands,
+    shards,
     upstream_client,
 )
 
@@ -30,16 +44,26 @@
 class EntryDaemon:
     """Run one entry process until closed."""
 
-    def __init__(self, settings: settings_generated.Settings):
+    def __init__(
+        self,
+        settings: settings_generated.Settings,
+        on_failed: Callable[[], None] = lambda: None,
+    ):
+        """Take settings and a function that is called when control has failed."""
         self._settings = settings
+        self._on_failed = on_failed
         self._stopping = threading.Event()
-        self._published = control.Published({}, False, {}, frozenset(), {})
+        self._published = control.Published(
+            {}, False, {}, frozenset(), {}, frozenset(), {}
+        )
         self._places: dict[str, Any] = {}
         self._metrics = _make_metrics(settings)
         self._owners = owners.OwnerTables()
         self._configuration = configuration.Configuration(
-            settings.get("operator_keys", {})
+            settings.get("operator_keys", {}),
+            lambda view: self._tell(control.ConfigurationChanged(view)),
         )
+        self._commands = server_commands.ServerCommands(self._on_server_reply)
         self._dispatcher = dispatch.Dispatcher(self._configuration.view)
         self._bus = peers.Bus(
             peers.BusOptions(
@@ -65,7 +89,13 @@
                 streams["configuration_stream"],
                 lambda batch, from_log: self._configuration.take(batch.records),
                 lambda gap: self._configuration.note_gap(gap.oldest_offset),
-            )
+            ),
+            configuration.LogFollower(
+                self._access,
+                streams["control_stream"],
+                lambda batch, from_log: self._tell(control.LogBatch(batch, from_log)),
+                lambda gap: self._tell(control.LogGap(gap.oldest_offset)),
+            ),
         ]
         self._path = request_path.RequestPath(
             request_path.Parts(
@@ -95,6 +125,8 @@
             lambda: self._configuration.state.revision,
             self._stopping.is_set,
             self._on_publish,
+            self._make_shards,
+            self._on_failed,
         )
         self._ticker = control.Ticker(self._tick, control.TICK_MS)
         self._ticker.start()
@@ -120,6 +152,7 @@
             follower.close()
         self._ticker.close()
         self._control.stop()
+        self._commands.close()
         self._bus.close()
         self._client.close()
         self._access.close()
@@ -147,7 +180,42 @@
 
     def _tick(self) -> None:
         self._dispatcher.expire(clock.monotonic_ms())
-        self._control.tell(control.Tick())
+        self._tell(control.Tick())
+
+    def _tell(self, message: Any) -> None:
+        try:
+            self._control.tell(message)
+        except pykka.ActorDeadError:
+            # Control has failed or the process stops; the former was logged.
+            return
+
+    def _make_shards(self, now: float) -> shards.Shards:
+        return shards.Shards(
+            shards.ShardParts(
+                self._settings["vm"],
+                self._bus,
+                self._access,
+                self._settings["log"]["control_stream"],
+                self._owners,
+                self._commands,
+                # Record ids must not be guessable.
+                random.SystemRandom(),
+            ),
+            now,
+        )
+
+    def _on_server_reply(
+        self,
+        server: str,
+        command: ownership.OwnershipCommand,
+        reply: ownership.OwnershipReply | None,
+        problem: str,
+    ) -> None:
+        if reply is None and not shards.problem_is_refusal(problem):
+            # Silence proves nothing; the controller notices it by time.
+            return
+        event = decisions.OwnershipReplied(server, command, reply)
+        self._tell(control.ServerReplied(event))
 
     def _on_publish(self, published: control.Published) -> None:
         self._places = control.place_by_live_vm(self._settings, published)
@@ -168,7 +236,7 @@
         elif incoming.kind == "owner_table":
             self._owners.publish(incoming.message)
         else:
-            self._control.tell(control.Received(incoming))
+            self._tell(control.Received(incoming))
 
     def _status(self) -> dict[str, Any]:
         published = self._published
@@ -190,7 +258,7 @@
                 }
                 for vm, live in published.live_by_vm.items()
             },
-            "shards": {},
+            "shards": published.shards,
             "instances": {},
             "quarantine": [],
         }
--- a/src/wasabivalve/entry/owners.py
+++ b/src/wasabivalve/entry/owners.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from wasabivalve import routing
+from wasabivalve import ownership, routing
 from wasabivalve.schema import messages_generated
 
 
@@ -12,6 +12,7 @@
     def __init__(self) -> None:
         self._condition = threading.Condition()
         self._table_by_shard: dict[str, routing.OwnerTable] = {}
+        self._message_by_shard: dict[str, messages_generated.OwnerTable] = {}
 
     def publish(self, message: messages_generated.OwnerTable) -> bool:
         """Take in a table; return whether it is newer than the one held."""
@@ -23,6 +24,7 @@
             if table is current:
                 return False
             self._table_by_shard[message["shard"]] = table
+            self._message_by_shard[message["shard"]] = message
             self._condition.notify_all()
             return True
 
@@ -30,6 +32,29 @@
         """Return the newest table of a shard, if any."""
         return self._table_by_shard.get(shard)
 
+    def request_for(self, shard: str) -> messages_generated.OwnerTableRequest:
+        """Return the message that asks a peer for a newer table."""
+        table = self._table_by_shard.get(shard)
+        known = table.generation if table else ownership.NO_TOKEN
+        return {
+            "shard": shard,
+            "known": {
+                "term": known.term,
+                "position": known.position,
+                "step": known.step,
+            },
+        }
+
+    def newer_than(
+        self, shard: str, known: messages_generated.Token
+    ) -> messages_generated.OwnerTable | None:
+        """Return the table held if its generation is higher than the known one."""
+        table = self._table_by_shard.get(shard)
+        generation = (known["term"], known["position"], known["step"])
+        if table is None or table.generation <= generation:
+            return None
+        return self._message_by_shard[shard]
+
     def wait_for_change(
         self, shard: str, seen: routing.OwnerTable | None, timeout_ms: float
     ) -> None:
--- a/src/wasabivalve/entry/request_path.py
+++ b/src/wasabivalve/entry/request_path.py
@@ -170,7 +170,7 @@
             if owner is not None:
                 for instance in prepared.service.instances:
                     if instance.name == owner.server:
-                        token = ".".join(str(part) for part in owner.token)
+                        token = "/".join(str(part) for part in owner.token)
                         return Route(instance, token, table)
             if clock.monotonic_ms() >= prepared.deadline_at:
                 return None
--- /dev/null
+++ b/src/wasabivalve/entry/shards.py
@@ -0,0 +1,221 @@
+"""Run the shard controllers of one VM and carry out their decisions."""
+
+import random
+from collections.abc import Mapping, Sequence
+from concurrent import futures
+from typing import Any, NamedTuple
+
+from wasabivalve import events, peers, platform_log, resources, routing
+from wasabivalve.ownership import controller, decisions, promises, replay
+from wasabivalve.routing import rendezvous
+
+from . import log_access, owners, request_path, server_commands, upstream_client
+
+# Each VM asks one peer for a newer table in this interval: a push may be lost.
+TABLE_PULL_MS = 1_000.0
+
+
+class ShardParts(NamedTuple):
+    """Gather what the controllers use."""
+
+    vm: str
+    bus: peers.Bus
+    access: log_access.LogAccess
+    control_stream: str
+    owners: owners.OwnerTables
+    commands: server_commands.ServerCommands
+    generator: random.Random
+
+
+class Shards:
+    """Hold the promises and controllers of one VM; used by one thread only."""
+
+    def __init__(self, parts: ShardParts, now: float):
+        self._parts = parts
+        self._giver = promises.PromiseGiver(parts.vm, now)
+        self._controller_by_shard: dict[str, controller.ShardController] = {}
+        self._address_by_server: dict[str, upstream_client.Address] = {}
+        self._state = replay.ControlState()
+        self._vms: tuple[str, ...] = ()
+        self._place_by_vm: Mapping[str, routing.Place] = {}
+        self._appends = futures.ThreadPoolExecutor(1, "control-append")
+        self._next_pull = 0.0
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset of the control stream up to which was read."""
+        return self._state.next_offset
+
+    def describe(self, now: float) -> dict[str, Any]:
+        """Return the observed state of each shard."""
+        result = {}
+        for shard, shard_controller in self._controller_by_shard.items():
+            agreed = self._state.shard(shard)
+            result[shard] = {
+                "controller": shard_controller.authority.holds(now),
+                "term": agreed.term,
+                "revision": agreed.revision,
+                "group": list(agreed.group),
+            }
+        return result
+
+    def close(self) -> None:
+        """Stop the thread that appends."""
+        self._appends.shutdown(wait=False, cancel_futures=True)
+
+    def on_configuration(self, view: resources.View, now: float) -> None:
+        """Start a controller for each service that is divided by key."""
+        for service in view.service_by_name.values():
+            if not service.divided_by_key:
+                continue
+            self._note_addresses(service)
+            shard = request_path.shard_of(service.name)
+            if shard not in self._controller_by_shard:
+                self._add_controller(shard, service, now)
+            leaving = tuple(
+                name for owner, name in view.drained_instances if owner == service.name
+            )
+            names = tuple(instance.name for instance in service.instances)
+            event = decisions.ServersChanged(names, leaving)
+            self._handle(shard, event, now)
+
+    def on_vms(
+        self,
+        vms: Sequence[str],
+        place_by_vm: Mapping[str, routing.Place],
+        now: float,
+    ) -> None:
+        """Take in the entry VMs that may hold promises."""
+        if tuple(vms) == self._vms:
+            return
+        self._vms = tuple(vms)
+        self._place_by_vm = place_by_vm
+        for shard in self._controller_by_shard:
+            event = decisions.VmsChanged(order_for_group(shard, vms, place_by_vm))
+            self._handle(shard, event, now)
+
+    def on_log(self, batch: platform_log.ReadBatch, from_log: bool, now: float) -> None:
+        """Replay records of the control stream."""
+        for offset, record in batch.records:
+            self._state = replay.apply(self._state, offset, record).state
+        if batch.next_offset > self._state.next_offset:
+            self._state = replay.with_gap(self._state, batch.next_offset)
+        if not from_log:
+            # A copy does not prove that this VM can still reach the log.
+            return
+        self._giver.log_read(self._state)
+        for shard in self._controller_by_shard:
+            self._handle(shard, decisions.LogRead(self._state), now)
+
+    def on_log_gap(self, oldest_offset: int) -> None:
+        """Note that records were removed before they were read."""
+        self._state = replay.with_gap(self._state, oldest_offset)
+
+    def on_server_reply(self, event: decisions.OwnershipReplied, now: float) -> None:
+        """Take in the reply of a server to a command."""
+        if event.command.shard in self._controller_by_shard:
+            self._handle(event.command.shard, event, now)
+
+    def on_message(self, incoming: peers.Incoming, now: float) -> None:
+        """Take in a message about promises or owner tables."""
+        message = incoming.message
+        if incoming.kind == "promise_request":
+            if message["vm"] == incoming.sender:
+                reply = self._giver.on_request(message, now)
+                incoming.reply("promise_reply", reply)
+        elif incoming.kind == "promise_reply":
+            known = message["shard"] in self._controller_by_shard
+            if known and message["vm"] == incoming.sender:
+                event = decisions.PromiseReplied(message)
+                self._handle(message["shard"], event, now)
+        elif incoming.kind == "owner_table_request":
+            newer = self._parts.owners.newer_than(message["shard"], message["known"])
+            if newer is not None:
+                incoming.reply("owner_table", newer)
+
+    def tick(self, live_peers: Sequence[str], now: float) -> None:
+        """Let time pass."""
+        self._giver.tick(now)
+        for shard in self._controller_by_shard:
+            self._handle(shard, decisions.Tick(), now)
+        if now >= self._next_pull and live_peers:
+            self._next_pull = now + TABLE_PULL_MS
+            peer = self._parts.generator.choice(list(live_peers))
+            for shard in self._controller_by_shard:
+                request = self._parts.owners.request_for(shard)
+                self._parts.bus.send(peer, "owner_table_request", request)
+
+    def _note_addresses(self, service: resources.Service) -> None:
+        for instance in service.instances:
+            address = upstream_client.Address(instance.host, instance.port)
+            self._address_by_server[instance.name] = address
+
+    def _add_controller(
+        self, shard: str, service: resources.Service, now: float
+    ) -> None:
+        self._controller_by_shard[shard] = controller.ShardController(
+            self._parts.vm,
+            shard,
+            service.checks_fencing,
+            self._giver,
+            self._parts.generator,
+        )
+        vms = order_for_group(shard, self._vms, self._place_by_vm)
+        self._handle(shard, decisions.VmsChanged(vms), now)
+
+    def _handle(self, shard: str, event: decisions.Event, now: float) -> None:
+        for decision in self._controller_by_shard[shard].handle(event, now):
+            self._carry_out(shard, decision, now)
+
+    def _carry_out(self, shard: str, decision: decisions.Decision, now: float) -> None:
+        match decision:
+            case decisions.SendPromiseRequest(vm, request):
+                if vm == self._parts.vm:
+                    reply = self._giver.on_request(request, now)
+                    self._handle(shard, decisions.PromiseReplied(reply), now)
+                else:
+                    self._parts.bus.send(vm, "promise_request", request)
+            case decisions.SendOwnershipCommand(server, command):
+                address = self._address_by_server.get(server)
+                if address is not None:
+                    self._parts.commands.send(server, address, command)
+            case decisions.AppendRecords(records):
+                self._append(records)
+            case decisions.PublishOwnerTable(table):
+                self._parts.owners.publish(table)
+                self._parts.bus.broadcast("owner_table", table)
+            case decisions.EmitEvent(number, fields):
+                events.emit(number, **fields)
+
+    def _append(self, records: tuple[Any, ...]) -> None:
+        # The controller appends again until it reads the records back, so the
+        # outcome of this call is of no interest.
+        access, stream = self._parts.access, self._parts.control_stream
+        try:
+            self._appends.submit(access.append, stream, list(records))
+        except RuntimeError:
+            # The executor is shut down: the process stops.
+            return
+
+
+def order_for_group(
+    shard: str, vms: Sequence[str], place_by_vm: Mapping[str, routing.Place]
+) -> tuple[str, ...]:
+    """Return the VMs by rendezvous hashing, taking the data centres in turn."""
+    waiting_by_data_centre: dict[str, list[str]] = {}
+    for vm in rendezvous.rank_names(f"group/{shard}", vms):
+        place = place_by_vm.get(vm)
+        name = place.data_centre if place else ""
+        waiting_by_data_centre.setdefault(name, []).append(vm)
+    ordered = []
+    while waiting_by_data_centre:
+        for name in list(waiting_by_data_centre):
+            ordered.append(waiting_by_data_centre[name].pop(0))
+            if not waiting_by_data_centre[name]:
+                del waiting_by_data_centre[name]
+    return tuple(ordered)
+
+
+def problem_is_refusal(problem: str) -> bool:
+    """Return whether a failed command proves that no process listens."""
+    return problem == "NewConnectionError"
--- a/src/wasabivalve/ownership/owner_tables.py
+++ b/src/wasabivalve/ownership/owner_tables.py
@@ -29,7 +29,7 @@
         else:
             _add_pieces(ranges, unit, owner, pieces)
     if ranges and held.unit_by_span:
-        ranges[-1]["end"] = max(end for _, end in held.unit_by_span)
+        ranges[-1]["last"] = max(end for _, end in held.unit_by_span) - 1
     return {
         "shard": held.shard,
         "generation": as_message(generation),
@@ -79,9 +79,9 @@
     message = as_message(token)
     if ranges:
         last = ranges[-1]
-        last["end"] = start
+        last["last"] = start - 1
         if (last["server"], last["token"]) == (server, message):
-            last["end"] = end
+            last["last"] = end - 1
             return
     start = start if ranges else 0
-    ranges.append({"start": start, "end": end, "server": server, "token": message})
+    ranges.append({"start": start, "last": end - 1, "server": server, "token": message})
--- a/src/wasabivalve/ownership/tests/ownership_world.py
+++ b/src/wasabivalve/ownership/tests/ownership_world.py
@@ -182,9 +182,7 @@
                 else:
                     self.send(name, vm, ask)
             case decisions.SendOwnershipCommand(server, command):
-                command_server = functools.partial(
-                    self.command, name, server, command
-                )
+                command_server = functools.partial(self.command, name, server, command)
                 self.send(name, server, command_server, self.checks_fencing)
             case decisions.AppendRecords(records):
                 self.send(name, LOG, functools.partial(self.append, records))
@@ -322,7 +320,9 @@
     if not found:
         position = key_ranges.position_of_key(key)
         found = [
-            item for item in table["ranges"] if item["start"] <= position < item["end"]
+            item
+            for item in table["ranges"]
+            if item["start"] <= position <= item["last"]
         ]
     if not found or not found[0]["server"]:
         return None
--- a/src/wasabivalve/routing/owner_table.py
+++ b/src/wasabivalve/routing/owner_table.py
@@ -26,7 +26,7 @@
         self.provisional = message["provisional"]
         ranges = sorted(message["ranges"], key=lambda entry: entry["start"])
         self._starts = [entry["start"] for entry in ranges]
-        self._ends = [entry["end"] for entry in ranges]
+        self._lasts = [entry["last"] for entry in ranges]
         self._owners = [_owner(entry["server"], entry["token"]) for entry in ranges]
         self._owner_by_key = {
             entry["key"]: _owner(entry["server"], entry["token"])
@@ -42,7 +42,7 @@
     def owner_at(self, position: int) -> Owner | None:
         """Return the owner of the range with this position, exceptions aside."""
         index = bisect.bisect_right(self._starts, position) - 1
-        if index < 0 or position >= self._ends[index]:
+        if index < 0 or position > self._lasts[index]:
             return None
         return self._owners[index]
 
@@ -61,15 +61,15 @@
 ) -> tuple[outcomes.Finding, ...]:
     """Return a finding for each range that is empty, too long or overlaps another."""
     found = []
-    previous_end = 0
+    previous_last = -1
     file = f"owner_table {message['shard']}"
     for entry in sorted(message["ranges"], key=lambda entry: entry["start"]):
-        name = f"[{entry['start']}, {entry['end']})"
-        if not entry["start"] < entry["end"] <= key_ranges.POSITIONS:
+        name = f"[{entry['start']}, {entry['last']}]"
+        if not entry["start"] <= entry["last"] < key_ranges.POSITIONS:
             found.append(outcomes.Finding(file, "$.ranges", f"{name} is not a range"))
-        if entry["start"] < previous_end:
+        if entry["start"] <= previous_last:
             found.append(outcomes.Finding(file, "$.ranges", f"{name} overlaps another"))
-        previous_end = max(previous_end, entry["end"])
+        previous_last = max(previous_last, entry["last"])
     return tuple(found)
 
 
--- a/src/wasabivalve/routing/tests/test_routing.py
+++ b/src/wasabivalve/routing/tests/test_routing.py
@@ -17,8 +17,13 @@
         "generation": generation,
         "provisional": False,
         "ranges": [
-            {"start": HALF, "end": ownership.POSITIONS, "server": "", "token": TOKEN},
-            {"start": 0, "end": HALF, "server": server, "token": TOKEN},
+            {
+                "start": HALF,
+                "last": ownership.POSITIONS - 1,
+                "server": "",
+                "token": TOKEN,
+            },
+            {"start": 0, "last": HALF - 1, "server": server, "token": TOKEN},
         ],
         "exceptions": [{"key": "hot", "server": "slotbook-9", "token": TOKEN}],
     }
--- a/src/wasabivalve/schema/messages_generated.py
+++ b/src/wasabivalve/schema/messages_generated.py
@@ -104,11 +104,11 @@
 
 class RangeOwner(TypedDict):
     """
-    Owner of one range, empty when none.
+    Owner of the positions from start to last, empty when none.
     """
 
     start: int
-    end: int
+    last: int
     server: str
     token: Token
 
