--- a/src/wasabivalve/ownership/tests/ownership_world.py
+++ b/src/wasabivalve/ownership/tests/ownership_world.py
@@ -320,7 +320,9 @@
     if not found:
         position = key_ranges.position_of_key(key)
         found = [
-            item for item in table["ranges"] if item["start"] <= position < item["end"]
+            item
+            for item in table["ranges"]
+            if item["start"] <= position <= item["last"]
         ]
     if not found or not found[0]["server"]:
         return None
