Abort requests that were read just before a crash

Cause: a request read between the abort of running work and the close of the sockets ran on and could commit while the upstream counted as down. Change: work is aborted again after the sockets are closed; crashes are counted apart from restarts. Conclusion: nothing commits while a crashed upstream is down.

--- a/src/wasabivalve/stand_ins/upstream.py
+++ b/src/wasabivalve/stand_ins/upstream.py
@@ -41,6 +41,7 @@
         self._lifecycle = threading.RLock()
         self._timers: list[threading.Timer] = []
         self._closed = True
+        self._crashes = 0
         threads = options.slots + options.backlog + SPARE_THREADS
         self._server = http_server.HttpServer(
             self._handle, options.host, options.port, threads
@@ -95,6 +96,9 @@
         self._worker.forget()
         with self._lifecycle:
             self._server.stop()
+        # Requests that were read before the sockets closed must not run on.
+        self._worker.forget()
+        self._crashes += 1
         self._after(down_ms, self._restart)
 
     def silence_connections(self) -> int:
@@ -188,7 +192,11 @@
         return replies.json_response(document)
 
     def _show_history(self, request: http_server.Request) -> http_server.Response:
-        document = {"name": self.options.name, **self._worker.history_document()}
+        document = {
+            "name": self.options.name,
+            "crashes": self._crashes,
+            **self._worker.history_document(),
+        }
         return replies.json_response(document)
 
     def _drain(self, request: http_server.Request) -> http_server.Response:
--- a/src/wasabivalve/stand_ins/work.py
+++ b/src/wasabivalve/stand_ins/work.py
@@ -171,7 +171,6 @@
             return {
                 "runs": [run._asdict() for run in self._runs],
                 "runs_dropped": self._runs_recorded - len(self._runs),
-                "crashes": self._generation,
                 "draining_since_ms": self._draining_since,
                 "last_received_ms": self._last_received,
             }
