Publish the table when a grant's token changes and add random schedules

Change: a tenure compares the granted pieces; new members of a group let the holder ask first, which kept small groups without authority for over a second before. The simulated VMs pull the table from a peer every 400 ms.

--- a/src/wasabivalve/ownership/authority.py
+++ b/src/wasabivalve/ownership/authority.py
@@ -63,6 +63,7 @@
         self._promise_by_vm: dict[str, _Promise] = {}
         self._next_request_at = float("-inf")
         self._attempt_ends_at: float | None = None
+        self._quiet_until = float("-inf")
 
     def on_log_read(self, state: replay.ControlState, now: float) -> None:
         """Take over the state after a successful read to the end of the log."""
@@ -76,6 +77,7 @@
         if self._first_offset is None:
             self._first_offset = state.next_offset
         before, self.state = self.state, state.shard(self.shard)
+        self._yield_to_others(before, now)
         reset = self.state.reset_offset > before.reset_offset
         if not reset and self.state.term == before.term:
             return
@@ -90,6 +92,15 @@
         if controllers[:1] == (self.vm,):
             self._next_request_at = now
 
+    def _yield_to_others(self, before: replay.Shard, now: float) -> None:
+        """Let the holder or the first of a new term ask a new member first."""
+        first = self.state.controllers[:1] == (self.vm,)
+        joined = self.vm in self.state.group and self.vm not in before.group
+        alone = len(self.state.group) == 1
+        changed = self.state.term != before.term
+        if (joined and not alone) or (changed and not first):
+            self._quiet_until = now + promises.GIVEN_MS
+
     def holds(self, now: float) -> bool:
         """Return whether this VM may act for the shard."""
         silence = now - self._log_read_at
@@ -265,7 +276,8 @@
             wait = promises.GIVEN_MS + self._rng.uniform(0.0, 2 * ATTEMPT_MS)
             self._next_request_at = now + wait
             return False
-        if given.vm != self.vm and now < given.ends_at + self._delay():
+        quiet_until = max(given.ends_at, self._quiet_until)
+        if given.vm != self.vm and now < quiet_until + self._delay():
             return False
         self._attempt_ends_at = now + ATTEMPT_MS
         return True
--- a/src/wasabivalve/ownership/controller.py
+++ b/src/wasabivalve/ownership/controller.py
@@ -198,7 +198,6 @@
             decisions.EmitEvent(302, self._describe(change)) for change in held.changes
         ]
         if held.changes:
-            self._table_is_stale = True
             self._upkeep_at = min(self._upkeep_at, now)
             held.changes.clear()
         self._publish(held, result, now)
@@ -217,8 +216,9 @@
     ) -> None:
         """Publish the table when an owner changed or lost its last lease."""
         unowned = held.unowned(now)
-        if unowned - self._unowned:
+        if held.tokens_changed or unowned != self._unowned:
             self._table_is_stale = True
+        held.tokens_changed = False
         self._unowned = unowned
         early = now < held.started_at + FIRST_TABLE_AFTER_MS
         if not self._table_is_stale or (early and unowned):
--- a/src/wasabivalve/ownership/tenure.py
+++ b/src/wasabivalve/ownership/tenure.py
@@ -44,9 +44,11 @@
         self.target_by_span: dict[Span, str] = {}
         self.leaving: frozenset[str] = frozenset()
         self.changes: list[OwnerChange] = []
+        self.tokens_changed = False
         self.newly_suspected: list[str] = []
         self._exposed_until = exposed_until
         self._last_owner_by_span: dict[Span, str] = {}
+        self._pieces_by_span: dict[Span, list[server_lease.HeldRange]] = {}
         self._unsettled: set[Span] = set()
         self._done_by_span: dict[Span, set[tuple[str, str]]] = {}
         self._restore: set[tuple[str, Span]] = set()
@@ -274,6 +276,14 @@
             self._restore.add((owner, span))
         if before != owner:
             self.changes.append(OwnerChange(unit, before, owner))
+        self._note_pieces(owner, span)
+
+    def _note_pieces(self, owner: str, span: Span) -> None:
+        """Notice new tokens, which routers need, also if the owner is the same."""
+        pieces = self.view_by_server[owner].pieces(*span)
+        if self._pieces_by_span.get(span) != pieces:
+            self._pieces_by_span[span] = pieces
+            self.tokens_changed = True
 
     def _unsettle(self, span: Span) -> None:
         owner = self.owner_by_span.pop(span, "")
@@ -285,6 +295,7 @@
         by_span: tuple[dict[Span, Any], ...] = (
             self.owner_by_span,
             self._last_owner_by_span,
+            self._pieces_by_span,
             self.target_by_span,
             self._done_by_span,
         )
@@ -295,7 +306,11 @@
 
     def _recheck(self, server: str, view: server_view.ServerView) -> None:
         for span, owner in list(self.owner_by_span.items()):
-            if owner == server and not view.holds(*span):
+            if owner != server:
+                continue
+            if view.holds(*span):
+                self._note_pieces(server, span)
+            else:
                 self._unsettle(span)
 
     def _notice_suspects(self, now: float) -> None:
--- /dev/null
+++ b/src/wasabivalve/ownership/tests/ownership_schedules.py
@@ -0,0 +1,272 @@
+"""Run random schedules of failures against the simulated world."""
+
+import functools
+from typing import NamedTuple
+
+from wasabivalve.ownership import decisions, key_ranges
+from wasabivalve.ownership.tests import ownership_world
+
+FAULTY_MS = 4000.0
+HEAL_MS = 9000.0
+STEP_MS = 50.0
+
+
+class Result(NamedTuple):
+    """Count what happened in one schedule."""
+
+    checks: int
+    records: int
+    commits: int
+    faults: dict[str, int]
+    healed_after_ms: float
+
+
+class NotHealed(AssertionError):
+    """Report keys that are not served although all faults have ended."""
+
+
+def pause(world, rng):
+    name = rng.choice(tuple(world.process_by_name))
+    process = world.process_by_name[name]
+    length = rng.choice((80.0, 340.0, 400.0, 750.0, 1500.0))
+    process.paused_until = max(process.paused_until, world.real + length)
+
+
+def kill_vm(world, rng):
+    name = rng.choice(world.vm_names)
+    world.stop_vm(name)
+    world.at(rng.uniform(0.0, 900.0), functools.partial(restart_vm, world, name))
+
+
+def restart_vm(world, name):
+    world.stop_vm(name)
+    world.start_vm(name)
+
+
+def kill_holder(world, rng):
+    for name, held in world.controller_by_vm.items():
+        if held.tenure is not None:
+            world.stop_vm(name)
+            restart = functools.partial(restart_vm, world, name)
+            world.at(rng.uniform(0.0, 900.0), restart)
+
+
+def kill_all_vms(world, rng):
+    if rng.random() < 0.3:
+        for name in world.vm_names:
+            world.stop_vm(name)
+            world.at(
+                rng.uniform(0.0, 300.0), functools.partial(restart_vm, world, name)
+            )
+
+
+def kill_server(world, rng):
+    name = rng.choice(world.server_names)
+    world.stop_server(name)
+    restart = functools.partial(world.start_server, name)
+    world.at(rng.choice((0.0, 100.0, 1000.0)), restart)
+
+
+def cut(world, rng):
+    """Block messages of one process in one or both directions."""
+    every = (*world.vm_names, *world.server_names, ownership_world.LOG)
+    name = rng.choice(every)
+    others = [other for other in every if other != name and rng.random() < 0.6]
+    pairs = set()
+    direction = rng.randrange(3)
+    for other in others:
+        pairs |= {(name, other)} if direction != 1 else set()
+        pairs |= {(other, name)} if direction != 0 else set()
+    world.blocked |= pairs
+    world.at(rng.uniform(100.0, 2000.0), lambda: world.blocked.difference_update(pairs))
+
+
+def split(world, rng):
+    """Separate all processes into two sides."""
+    every = (*world.vm_names, *world.server_names, ownership_world.LOG)
+    side = {name for name in every if rng.random() < 0.5}
+    pairs = {(a, b) for a in every for b in every if (a in side) != (b in side)}
+    world.blocked |= pairs
+    world.at(rng.uniform(100.0, 2000.0), lambda: world.blocked.difference_update(pairs))
+
+
+def log_outage(world, rng):
+    world.log_is_up = False
+    world.at(rng.uniform(200.0, 3000.0), lambda: setattr(world, "log_is_up", True))
+
+
+def storm(world, rng):
+    """Drop and delay many messages for a while."""
+    world.drop, world.late, world.delay = 0.3, 0.2, 80.0
+    world.at(rng.uniform(200.0, 1500.0), lambda: calm(world))
+
+
+def calm(world):
+    world.drop, world.late, world.delay = 0.01, 0.01, 6.0
+
+
+def move(world, rng):
+    """Ask every controller for a planned move; only the holder acts."""
+    shard = world.oracle[-1].shard(ownership_world.SHARD)
+    if not shard.ranges:
+        return
+    target = rng.choice(world.server_names)
+    key = rng.choice(world.keys)
+    at = key_ranges.position_of_key(key)
+    some = rng.choice(shard.ranges)
+    middle = (some.start + some.end) // 2
+    wanted = rng.choice(
+        (
+            decisions.Move(some.start, some.end, "", target),
+            decisions.Move(some.start, middle, "", target),
+            decisions.Move(at, at + 1, key, target),
+            decisions.Move(at, at + 1, key, ""),
+        )
+    )
+    for name in world.vm_names:
+        event = decisions.MovesRequested((wanted,))
+        world.at(0.0, functools.partial(world.handle, name, event), alive(world, name))
+
+
+def alive(world, name):
+    return world.process_by_name[name]
+
+
+def change_servers(world, rng):
+    """Let a server leave gracefully, be removed, or return."""
+    gone = rng.choice(world.server_names)
+    kept = tuple(name for name in world.server_names if name != gone)
+    world.service = rng.choice(
+        ((kept, ()), (world.server_names, (gone,)), (world.server_names, ()))
+    )
+    announce(world)
+
+
+def announce(world):
+    event = decisions.ServersChanged(*world.service)
+    for name in world.vm_names:
+        world.at(0.0, functools.partial(world.handle, name, event), alive(world, name))
+
+
+def change_vms(world, rng):
+    """Give wrong hints about live VMs to some controllers."""
+    kept = [name for name in world.vm_names if rng.random() < 0.7]
+    rng.shuffle(kept)
+    for name in world.vm_names:
+        if rng.random() < 0.5:
+            event = decisions.VmsChanged(tuple(kept))
+            action = functools.partial(world.handle, name, event)
+            world.at(0.0, action, alive(world, name))
+
+
+def retention(world, rng):
+    world.apply_retention()
+
+
+FAULTS = (
+    pause,
+    pause,
+    kill_vm,
+    kill_holder,
+    kill_all_vms,
+    kill_server,
+    kill_server,
+    cut,
+    cut,
+    split,
+    log_outage,
+    storm,
+    move,
+    move,
+    move,
+    change_servers,
+    change_vms,
+    retention,
+)
+
+
+def run(seed, **options):
+    """Run one schedule; raise when an invariant is broken or keys stay lost."""
+    world = ownership_world.World(seed, **options)
+    rng = world.rng
+    counts = {}
+    gap = rng.choice((100.0, 300.0, 900.0))
+    next_fault = rng.choice((0.0, 1800.0))
+    world.run_until(next_fault)
+    end = world.real + FAULTY_MS
+    while world.real < end:
+        if world.real >= next_fault:
+            next_fault = world.real + rng.uniform(0.0, 2 * gap)
+            fault = rng.choice(FAULTS)
+            counts[fault.__name__] = counts.get(fault.__name__, 0) + 1
+            fault(world, rng)
+            world.check()
+        world.request(rng.choice(world.vm_names), rng.choice(world.keys))
+        world.run_until(world.real + STEP_MS)
+        world.check()
+    healed = heal(world)
+    commits = sum(len(found) for found in world.commits.values())
+    return Result(world.checks, len(world.records), commits, counts, healed)
+
+
+def heal(world):
+    """End all faults and wait until every VM routes every key to its owner."""
+    start = world.real
+    world.log_is_up = True
+    world.blocked.clear()
+    calm(world)
+    world.drop = world.late = 0.0
+    for name in world.server_names:
+        if name not in world.lease_by_server:
+            world.start_server(name)
+    for name, process in world.process_by_name.items():
+        process.paused_until = 0.0
+        if name in world.vm_names:
+            restart_vm_if_dead(world, name)
+    world.service = (world.server_names, ())
+    announce(world)
+    for name in world.vm_names:
+        event = decisions.VmsChanged(world.vm_names)
+        world.handle(name, event)
+    while world.real < start + HEAL_MS:
+        world.run_until(world.real + STEP_MS)
+        world.check()
+        if all_served(world):
+            return world.real - start
+    raise NotHealed(f"not healed after {HEAL_MS:.0f} ms: {describe(world)}")
+
+
+def restart_vm_if_dead(world, name):
+    process = world.process_by_name[name]
+    waiting = any(
+        entry[3] is process and entry[4] == process.life for entry in world.queue
+    )
+    if not waiting:
+        restart_vm(world, name)
+
+
+def all_served(world):
+    for key in world.keys:
+        owners = world.owners(key)
+        if len(owners) != 1:
+            return False
+        for vm in world.vm_names:
+            found = ownership_world.route(world.table_by_vm.get(vm), key)
+            if found is None or found[0] != owners[0]:
+                return False
+            lease = world.lease_by_server[owners[0]]
+            now = world.process_by_name[owners[0]].clock(world.real)
+            if lease.may_start(key, found[1], now) is not None:
+                return False
+    return True
+
+
+def describe(world):
+    holders = [
+        (name, held.authority.position, held.authority.epoch)
+        for name, held in world.controller_by_vm.items()
+        if held.tenure is not None
+    ]
+    shard = world.oracle[-1].shard(ownership_world.SHARD)
+    owners = {key: world.owners(key) for key in world.keys}
+    return holders, shard._replace(ranges=(), controllers=()), owners
--- a/src/wasabivalve/ownership/tests/ownership_world.py
+++ b/src/wasabivalve/ownership/tests/ownership_world.py
@@ -22,6 +22,7 @@
 LOG = "log"
 TICK_MS = 20.0
 READ_MS = 50.0
+PULL_MS = 400.0
 LOG_SILENCE_MS = 5000.0
 
 
@@ -156,6 +157,7 @@
         tick = functools.partial(self.tick, name)
         self.at(self.rng.uniform(0.0, TICK_MS), tick, process)
         self.at(self.rng.uniform(0.0, READ_MS), lambda: self.read(name), process)
+        self.at(self.rng.uniform(0.0, PULL_MS), lambda: self.pull(name), process)
 
     def stop_vm(self, name):
         self.process_by_name[name].life += 1
@@ -182,9 +184,7 @@
                 else:
                     self.send(name, vm, ask)
             case decisions.SendOwnershipCommand(server, command):
-                command_server = functools.partial(
-                    self.command, name, server, command
-                )
+                command_server = functools.partial(self.command, name, server, command)
                 self.send(name, server, command_server, self.checks_fencing)
             case decisions.AppendRecords(records):
                 self.send(name, LOG, functools.partial(self.append, records))
@@ -206,6 +206,18 @@
         else:
             self.send(vm, asker, answer)
 
+    def pull(self, vm):
+        """Ask another VM for its table, as a pushed one may have been lost."""
+        self.at(PULL_MS, lambda: self.pull(vm), self.process_by_name[vm])
+        peer = self.rng.choice(self.vm_names)
+
+        def answer():
+            table = self.table_by_vm.get(peer)
+            if table is not None:
+                self.send(peer, vm, functools.partial(self.publish, vm, table))
+
+        self.send(vm, peer, answer)
+
     def publish(self, vm, table):
         known = self.table_by_vm.get(vm)
         order = ("term", "position", "step")
--- a/src/wasabivalve/ownership/tests/test_authority.py
+++ b/src/wasabivalve/ownership/tests/test_authority.py
@@ -38,7 +38,9 @@
 
 def controller(vm, givers, first_offset=0):
     held = authority.Authority(vm, SHARD, givers[vm], random.Random(1))
-    held.on_log_read(replay.ControlState(first_offset), 0.0)
+    held.on_log_read(replay.ControlState(first_offset), -1000.0)
+    # A new member of the group lets the holder ask first.
+    held.on_log_read(log_state(), -1000.0)
     held.on_log_read(log_state(), 0.0)
     return held
 
