--- a/src/wasabivalve/stand_ins/work.py
+++ b/src/wasabivalve/stand_ins/work.py
@@ -67,7 +67,9 @@
     """Hold the slots, leases and runs of one upstream."""
 
     def __init__(
-        self, options: upstream_options.UpstreamOptions, now: Callable[[], float]
+        self,
+        options: upstream_options.UpstreamOptions,
+        now: Callable[[], float],
     ):
         """Take options and a clock in ms."""
         self._options = options
