--- a/src/wasabivalve/schema/messages_generated.py
+++ b/src/wasabivalve/schema/messages_generated.py
@@ -174,6 +174,7 @@
     body_digest: str
     first_sent_at_ms: float
     vm: str
+    attempt: str
 
 
 class RecordedAnswer(TypedDict):
@@ -272,4 +273,5 @@
 
     key: str
     vm: str
+    attempt: str
     answer: RecordedAnswer
