--- a/src/wasabivalve/schema/messages_generated.py
+++ b/src/wasabivalve/schema/messages_generated.py
@@ -177,6 +177,7 @@
     body_digest: str
     first_sent_at_ms: float
     vm: str
+    attempt: str
 
 
 class RecordedAnswer(TypedDict):
@@ -275,4 +276,5 @@
 
     key: str
     vm: str
+    attempt: str
     answer: RecordedAnswer
