Deduplicate non-idempotent requests and hold requests for a new owner

Change: entry VMs reserve idempotency keys on two record holders; a request of a divided service waits for another owner while nothing was run.

--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -8,6 +8,7 @@
 import pykka
 
 from wasabivalve import (
+    deduplication,
     events,
     metrics,
     outcomes,
@@ -24,6 +25,7 @@
     clock,
     configuration,
     control,
+    deduplicator,
     dispatch,
     http_front,
     log_access,
@@ -97,6 +99,12 @@
                 lambda gap: self._tell(control.LogGap(gap.oldest_offset)),
             ),
         ]
+        self._place_by_vm = control.places(settings)
+        self._deduplicator = deduplicator.Deduplicator(
+            settings["vm"],
+            self._bus,
+            lambda: deduplicator.view_of(self._place_by_vm, self._published.mutual_vms),
+        )
         self._path = request_path.RequestPath(
             request_path.Parts(
                 settings,
@@ -167,9 +175,33 @@
         if isinstance(prepared, caller_request.Problem):
             return prepared
         started = clock.monotonic_ms()
-        outcome = self._path.run(prepared)
+        result = self._run(prepared)
         self._metrics.timing("request.duration", clock.monotonic_ms() - started)
-        self._metrics.count(_METRIC_BY_OUTCOME[type(outcome)])
+        if not isinstance(result, caller_request.Problem):
+            self._metrics.count(_METRIC_BY_OUTCOME[type(result)])
+        return result
+
+    def _run(
+        self, prepared: request_path.Prepared
+    ) -> outcomes.Outcome | caller_request.Problem:
+        if prepared.idempotent:
+            return self._path.run(prepared)
+        key = prepared.request.idempotency_key
+        first_sent = deduplication.first_sent_at_ms(key, clock.wall_ms())
+        if deduplication.is_malformed(first_sent, clock.wall_ms()):
+            reason = f"Idempotency-Key {key!r} is from the future"
+            return caller_request.Problem(400, "not-run", reason)
+        reservation = self._deduplicator.reserve(prepared.request)
+        if isinstance(reservation.verdict, deduplication.Conflict):
+            reason = "Idempotency-Key was used with another request"
+            return caller_request.Problem(422, "not-run", reason)
+        if isinstance(reservation.verdict, deduplication.Answered):
+            return reservation.verdict.outcome
+        outcome: outcomes.Outcome = outcomes.Unknown("internal error")
+        try:
+            outcome = self._path.run(prepared)
+        finally:
+            self._deduplicator.record(reservation, outcome)
         return outcome
 
     def _live_peers(self) -> list[str]:
@@ -180,6 +212,7 @@
 
     def _tick(self) -> None:
         self._dispatcher.expire(clock.monotonic_ms())
+        self._deduplicator.tick()
         self._tell(control.Tick())
 
     def _tell(self, message: Any) -> None:
@@ -231,6 +264,10 @@
             )
         elif incoming.kind == "permit_release":
             self._dispatcher.release(incoming.message, now)
+        elif incoming.kind == "reserve_request":
+            self._deduplicator.on_reserve(incoming)
+        elif incoming.kind == "record_answer":
+            self._deduplicator.on_record(incoming)
         elif incoming.kind == "log_relay_request":
             self._access.serve(incoming)
         elif incoming.kind == "owner_table":
--- a/src/wasabivalve/entry/request_path.py
+++ b/src/wasabivalve/entry/request_path.py
@@ -31,6 +31,7 @@
     rank: resources.Rank
     idempotent: bool
     deadline_at: float
+    hold_until: float
 
 
 class Parts(NamedTuple):
@@ -87,8 +88,10 @@
         if not idempotent and not request.idempotency_key:
             reason = f"method {request.method} needs an Idempotency-Key header"
             return caller_request.Problem(400, "not-run", reason)
-        deadline_at = clock.monotonic_ms() + request.deadline_ms
-        return Prepared(request, service, rank, idempotent, deadline_at)
+        now = clock.monotonic_ms()
+        deadline_at = now + request.deadline_ms
+        hold_until = min(deadline_at, now + rank.queue_age_ms)
+        return Prepared(request, service, rank, idempotent, deadline_at, hold_until)
 
     def run(self, prepared: Prepared) -> outcomes.Outcome:
         """Try a request until an outcome is final."""
@@ -97,8 +100,7 @@
         while True:
             attempt = self._attempt(prepared)
             outcome = attempt.outcome
-            if attempt.stale_owner and clock.monotonic_ms() < prepared.deadline_at:
-                # A move in progress: the owner table decides, not the budget.
+            if self._waits_for_owner(prepared, attempt):
                 continue
             attempts += 1
             attempted = retries.AttemptedRequest(
@@ -115,6 +117,20 @@
                 return outcome
             time.sleep(decision.delay_ms / 1000)
 
+    def _waits_for_owner(
+        self, prepared: Prepared, attempt: upstream_client.Attempt
+    ) -> bool:
+        """Return whether to hold a request of a divided service for another owner.
+
+        Nothing was run, so the owner table decides about the next attempt and not
+        the retry budget, which a lost server would use up at once.
+        """
+        if not prepared.service.divided_by_key:
+            return False
+        not_run = isinstance(attempt.outcome, outcomes.NotRun)
+        moved = attempt.stale_owner or (not_run and attempt.crashed)
+        return moved and clock.monotonic_ms() < prepared.hold_until
+
     def _attempt(self, prepared: Prepared) -> upstream_client.Attempt:
         route = self._route(prepared)
         if route is None:
@@ -128,7 +144,7 @@
         attempt = self._send(prepared, route, str(name))
         done = isinstance(attempt.outcome, outcomes.Done)
         self._parts.permits.release(permit, "done" if done else "failed")
-        if attempt.stale_owner:
+        if self._waits_for_owner(prepared, attempt):
             self._wait_for_owner(prepared, route.table)
         return attempt
 
@@ -172,7 +188,7 @@
                     if instance.name == owner.server:
                         token = "/".join(str(part) for part in owner.token)
                         return Route(instance, token, table)
-            if clock.monotonic_ms() >= prepared.deadline_at:
+            if clock.monotonic_ms() >= prepared.hold_until:
                 return None
             self._wait_for_owner(prepared, table)
 
