Add quarantine of requests that crash instances

Cause: a poison request that is sent again would crash one instance after the other, also when several entry VMs send it.

Change: quarantine.CrashRecord lets a suspect run again only alone and on one VM at a time: VMs settle their notices of a crash for 100 ms, then the first claimant by rendezvous hashing may rerun it, and after 5 s the next live VM. A crash while alone convicts; so do two crashes that have only this fingerprint in common. quarantine_notice gets the field 'instance', so that two VMs' reports of one crash count once. choose_instance takes an affinity, by which identical requests compare the same two instances.

Not covered: requests that run on more than two instances before any crash is noticed (instances in several data centres, or VMs with different views), and sends a few ms apart while the notices travel.

--- /dev/null
+++ b/src/wasabivalve/quarantine/core.py
@@ -0,0 +1,267 @@
+"""Find the request that crashes instances and keep it from running again."""
+
+import math
+from collections.abc import Collection
+from typing import Literal, NamedTuple
+
+from wasabivalve.routing import rendezvous
+from wasabivalve.schema import messages_generated
+
+QUARANTINE_MS = 600_000.0
+"""Time for which a convicted fingerprint is refused and a suspect remembered."""
+
+SETTLE_MS = 100.0
+"""Time for which VMs collect each other's notices of one crash before a rerun.
+
+It covers two one-way latencies between regions (40 ms) and the time by which the
+VMs see the crash apart.
+"""
+
+SAME_CRASH_MS = 1_000.0
+"""Crashes of one instance that are closer than this are the same crash."""
+
+OWNER_MS = 5_000.0
+"""Time for which one VM alone may rerun a suspect, before the next VM may."""
+
+GUARD_MS = 500.0
+"""Part at both ends of that time in which no rerun starts, as clocks differ."""
+
+RERUN_MS = 15_000.0
+"""Time for which a rerun holds back all others; longer than any request."""
+
+RETRY_AFTER_MS = 1_000.0
+MOST_FINGERPRINTS = 10_000
+
+Verdict = Literal["run", "run_alone", "wait", "quarantined"]
+
+
+class Admission(NamedTuple):
+    """State how a request may run, or in how many ms to ask again.
+
+    ``notices`` go to all peers before the request runs.
+    """
+
+    verdict: Verdict
+    retry_after_ms: float = 0.0
+    notices: tuple[messages_generated.QuarantineNotice, ...] = ()
+
+
+class _Crash(NamedTuple):
+    instance: str
+    seen_at: float
+    suspects: set[str]
+
+
+class _Suspect:
+    def __init__(self, now: float) -> None:
+        self.crashes: list[_Crash] = []
+        self.claimants: set[str] = set()
+        self.settled_at = now + SETTLE_MS
+        self.held_until = now + OWNER_MS
+        self.rerun_by: str | None = None
+        self.rerun_started = -math.inf
+        self.convicted = False
+        self.expires_at = now + QUARANTINE_MS
+
+
+class CrashRecord:
+    """Hold the suspects and convicted fingerprints that one entry VM knows.
+
+    A fingerprint is a digest of service, method, path and body, without the
+    idempotency key, so that a resent request is recognized.
+    """
+
+    def __init__(self, vm: str, most_fingerprints: int = MOST_FINGERPRINTS) -> None:
+        self._vm = vm
+        self._most = most_fingerprints
+        self._suspect_by_fingerprint: dict[str, _Suspect] = {}
+        self._crash_by_instance: dict[str, _Crash] = {}
+
+    def __len__(self) -> int:
+        """Return the number of fingerprints."""
+        return len(self._suspect_by_fingerprint)
+
+    def is_quarantined(self, fingerprint: str, now: float) -> bool:
+        """Return whether a fingerprint is convicted."""
+        suspect = self._get(fingerprint, now)
+        return suspect is not None and suspect.convicted
+
+    def admit(
+        self, fingerprint: str, live_vms: Collection[str], now: float
+    ) -> Admission:
+        """Decide how a request may run; ``run_alone`` starts the only rerun.
+
+        After ``run_alone`` call ``on_finish``, ``on_crash`` or ``abandon``.
+        """
+        suspect = self._get(fingerprint, now)
+        if suspect is None:
+            return Admission("run")
+        if suspect.convicted:
+            return Admission("quarantined", suspect.expires_at - now)
+        if now < suspect.settled_at:
+            return Admission("wait", suspect.settled_at - now)
+        if now - suspect.rerun_started < RERUN_MS:
+            return Admission("wait", RETRY_AFTER_MS)
+        if self._owner(fingerprint, suspect, live_vms, now) != self._vm:
+            return Admission("wait", RETRY_AFTER_MS)
+        suspect.rerun_by = self._vm
+        suspect.rerun_started = now
+        return Admission("run_alone", 0.0, (self._notice(fingerprint, suspect, now),))
+
+    def on_crash(
+        self, instance: str, fingerprints: Collection[str], now: float
+    ) -> tuple[messages_generated.QuarantineNotice, ...]:
+        """Record a crash with this VM's requests in flight; return the notices.
+
+        A suspect that this VM reran alone is convicted at once.
+        """
+        notices = []
+        for fingerprint in dict.fromkeys(fingerprints):
+            before = self._get(fingerprint, now)
+            alone = before is not None and before.rerun_by == self._vm
+            suspect = self._add(fingerprint, self._vm, instance, now)
+            if alone:
+                self._convict(suspect, now)
+            notices.append(self._notice(fingerprint, suspect, now, instance))
+        return tuple(notices)
+
+    def on_finish(
+        self, fingerprint: str, now: float
+    ) -> tuple[messages_generated.QuarantineNotice, ...]:
+        """Clear a suspect that this VM reran alone without a crash."""
+        suspect = self._get(fingerprint, now)
+        if suspect is None or suspect.convicted or suspect.rerun_by != self._vm:
+            return ()
+        del self._suspect_by_fingerprint[fingerprint]
+        return (_message(fingerprint, 0, False, 0.0, ""),)
+
+    def abandon(self, fingerprint: str, now: float) -> None:
+        """End a rerun that proved nothing, such as one that was not run."""
+        suspect = self._get(fingerprint, now)
+        if suspect is not None and suspect.rerun_by == self._vm:
+            suspect.rerun_by = None
+            suspect.rerun_started = -math.inf
+
+    def on_notice(
+        self,
+        sender: str,
+        notice: messages_generated.QuarantineNotice,
+        now: float,
+    ) -> None:
+        """Merge what a peer reports; a conviction outweighs anything else."""
+        fingerprint = notice["fingerprint"]
+        known = self._get(fingerprint, now)
+        if notice["quarantined"]:
+            suspect = known or self._new(fingerprint, now)
+            remaining = min(notice["remaining_ms"], QUARANTINE_MS)
+            later = now + remaining
+            if suspect.convicted:
+                later = max(later, suspect.expires_at)
+            suspect.convicted = True
+            suspect.expires_at = later
+        elif notice["crashes"] == 0:
+            if known is not None and not known.convicted:
+                del self._suspect_by_fingerprint[fingerprint]
+        elif notice["instance"]:
+            self._add(fingerprint, sender, notice["instance"], now)
+        else:
+            suspect = known or self._new(fingerprint, now)
+            suspect.rerun_by = sender
+            suspect.rerun_started = now
+
+    def expire(self, now: float) -> None:
+        """Drop fingerprints whose time is over."""
+        for fingerprint in list(self._suspect_by_fingerprint):
+            self._get(fingerprint, now)
+        for instance, crash in list(self._crash_by_instance.items()):
+            if now - crash.seen_at > SAME_CRASH_MS:
+                del self._crash_by_instance[instance]
+
+    def _get(self, fingerprint: str, now: float) -> _Suspect | None:
+        suspect = self._suspect_by_fingerprint.get(fingerprint)
+        if suspect is None:
+            return None
+        if suspect.expires_at <= now:
+            del self._suspect_by_fingerprint[fingerprint]
+            return None
+        if not suspect.convicted and now >= suspect.settled_at:
+            self._judge(fingerprint, suspect, now)
+        return suspect
+
+    def _add(
+        self, fingerprint: str, claimant: str, instance: str, now: float
+    ) -> _Suspect:
+        suspect = self._suspect_by_fingerprint.get(fingerprint)
+        suspect = suspect or self._new(fingerprint, now)
+        crash = self._crash_by_instance.get(instance)
+        if crash is None or now - crash.seen_at > SAME_CRASH_MS:
+            crash = _Crash(instance, now, set())
+            self._crash_by_instance[instance] = crash
+        crash.suspects.add(fingerprint)
+        suspect.claimants.add(claimant)
+        if not any(known is crash for known in suspect.crashes):
+            suspect.crashes.append(crash)
+            suspect.settled_at = now + SETTLE_MS
+        return suspect
+
+    def _new(self, fingerprint: str, now: float) -> _Suspect:
+        if len(self._suspect_by_fingerprint) >= self._most:
+            self._drop_one()
+        suspect = _Suspect(now)
+        self._suspect_by_fingerprint[fingerprint] = suspect
+        return suspect
+
+    def _drop_one(self) -> None:
+        # The oldest suspect goes first, a convicted one only if all are.
+        suspects = (
+            fingerprint
+            for fingerprint, suspect in self._suspect_by_fingerprint.items()
+            if not suspect.convicted
+        )
+        oldest = next(iter(self._suspect_by_fingerprint))
+        del self._suspect_by_fingerprint[next(suspects, oldest)]
+
+    def _judge(self, fingerprint: str, suspect: _Suspect, now: float) -> None:
+        # A request that is in flight everywhere is in every crash; only one
+        # that two crashes have in common with no other is the cause.
+        crashes = suspect.crashes
+        for index, first in enumerate(crashes):
+            for second in crashes[index + 1 :]:
+                if first.suspects & second.suspects == {fingerprint}:
+                    self._convict(suspect, now)
+                    return
+
+    def _convict(self, suspect: _Suspect, now: float) -> None:
+        suspect.convicted = True
+        suspect.expires_at = now + QUARANTINE_MS
+
+    def _owner(
+        self, fingerprint: str, suspect: _Suspect, live: Collection[str], now: float
+    ) -> str | None:
+        if now < suspect.held_until - GUARD_MS:
+            claimants = suspect.claimants.intersection(live)
+            return next(iter(rendezvous.rank_names(fingerprint, claimants)), None)
+        turn, elapsed = divmod(now - suspect.held_until, OWNER_MS)
+        if turn < 0 or not GUARD_MS <= elapsed < OWNER_MS - GUARD_MS:
+            return None
+        ranked = rendezvous.rank_names(fingerprint, live)
+        return ranked[int(turn) % len(ranked)] if ranked else None
+
+    def _notice(
+        self, fingerprint: str, suspect: _Suspect, now: float, instance: str = ""
+    ) -> messages_generated.QuarantineNotice:
+        crashes = max(1, len(suspect.crashes))
+        remaining = suspect.expires_at - now
+        return _message(fingerprint, crashes, suspect.convicted, remaining, instance)
+
+
+def _message(
+    fingerprint: str, crashes: int, quarantined: bool, remaining_ms: float, name: str
+) -> messages_generated.QuarantineNotice:
+    return {
+        "fingerprint": fingerprint,
+        "crashes": crashes,
+        "quarantined": quarantined,
+        "remaining_ms": remaining_ms,
+        "instance": name,
+    }
--- a/src/wasabivalve/routing/instances.py
+++ b/src/wasabivalve/routing/instances.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
-from . import places
+from . import places, rendezvous
 
 EWMA_WEIGHT = 0.2
 """Weight of the newest sample in a moving average."""
@@ -168,12 +168,17 @@
     *,
     excluded: Collection[str] = (),
     most_in_flight: int | None = None,
+    affinity: str | None = None,
 ) -> str | None:
     """Return the instance for a request, or None when all are excluded.
 
     The nearest tier (data centre, region, elsewhere) with an instance that is
     neither ejected nor at ``most_in_flight`` requests of this VM is used. Two
-    random instances of that tier are compared by their expected time.
+    instances of that tier are compared by their expected time: random ones, or
+    the same two for all requests with the same ``affinity``. With a digest of the
+    request as affinity, identical requests that are sent at the same time reach
+    two instances per data centre and not all of them, which limits what a request
+    can crash before it is known.
     """
     names = [name for name in place_by_instance if name not in excluded]
     if not names:
@@ -194,15 +199,27 @@
         for tier in tiers:
             usable = [name for name in tier if test(name)]
             if usable:
-                return _better_of_two(usable, observations, generator, now)
+                two = _two_of(usable, generator, affinity)
+                return _better_of_two(two, observations, generator, now)
     return None
 
 
+def _two_of(
+    names: list[str], generator: random.Random, affinity: str | None
+) -> list[str]:
+    if len(names) <= 2:
+        return names
+    if affinity is not None:
+        return list(rendezvous.rank_names(affinity, names)[:2])
+    return generator.sample(names, 2)
+
+
 def _better_of_two(
     names: list[str], observations: Observations, generator: random.Random, now: float
 ) -> str:
     if len(names) == 1:
         return names[0]
+    # A random order decides between equals, such as two idle instances.
     first, second = generator.sample(names, 2)
     usual = observations.usual_latency_ms(names, now)
     first_cost = observations.cost_ms(first, usual, now)
--- a/src/wasabivalve/routing/tests/test_routing.py
+++ b/src/wasabivalve/routing/tests/test_routing.py
@@ -119,3 +119,13 @@
     observations.on_start("a", 0.0)
     assert choose(places, observations) == {"a"}
     assert choose(places, observations, routing.instances.SLOW_START_MS) == {"b"}
+
+
+def test_identical_requests_reach_two_instances():
+    """A request that crashes instances would otherwise reach all of them at once."""
+    places = dict.fromkeys("abcdefgh", NEAR)
+    chosen = choose(places, routing.Observations(), affinity="digest")
+    assert len(chosen) == 2
+    rest = choose(places, routing.Observations(), affinity="digest", excluded=chosen)
+    assert len(rest) == 2
+    assert len(choose(places, routing.Observations())) == 8
--- a/src/wasabivalve/schema/messages_generated.py
+++ b/src/wasabivalve/schema/messages_generated.py
@@ -198,6 +198,7 @@
     crashes: int
     quarantined: bool
     remaining_ms: float
+    instance: str
 
 
 class LogRelayRequest(TypedDict):
