--- a/src/wasabivalve/ownership/authority.py
+++ b/src/wasabivalve/ownership/authority.py
@@ -112,6 +112,8 @@
 
     def is_claiming(self, now: float) -> bool:
         """Return whether a term claim is needed and its endorsements are there."""
+        if len(self._promise_by_vm) < self.state.majority:
+            return False
         return self._next_position() is None and bool(self.endorsements(now))
 
     def on_superseded(self, term: int, position: int) -> None:
@@ -277,6 +279,8 @@
             self._next_request_at = now + wait
             return False
         quiet_until = max(given.ends_at, self._quiet_until)
+        if given.vm != self.vm and now < quiet_until:
+            return False
         if given.vm != self.vm and now < quiet_until + self._delay():
             return False
         self._attempt_ends_at = now + ATTEMPT_MS
--- a/src/wasabivalve/ownership/tests/ownership_schedules.py
+++ b/src/wasabivalve/ownership/tests/ownership_schedules.py
@@ -90,6 +90,18 @@
     world.at(rng.uniform(100.0, 2000.0), lambda: world.blocked.difference_update(pairs))
 
 
+def wedge(world, rng):
+    """Separate two VMs, which other VMs and one part of the servers each reach."""
+    first, second = rng.sample(world.vm_names, 2)
+    pairs = {(first, second), (second, first)}
+    for server in world.server_names:
+        cut_off = rng.choice((first, second))
+        pairs |= {(cut_off, server), (server, cut_off)}
+    world.blocked |= pairs
+    length = rng.uniform(500.0, 2500.0)
+    world.at(length, lambda: world.blocked.difference_update(pairs))
+
+
 def log_outage(world, rng):
     world.log_is_up = False
     world.at(rng.uniform(200.0, 3000.0), lambda: setattr(world, "log_is_up", True))
@@ -101,8 +113,15 @@
     world.at(rng.uniform(200.0, 1500.0), lambda: calm(world))
 
 
+def echo(world, rng):
+    """Deliver many messages a second time, up to a lease period later."""
+    world.repeat, world.echo_ms = 0.4, 600.0
+    world.at(rng.uniform(500.0, 2000.0), lambda: calm(world))
+
+
 def calm(world):
     world.drop, world.late, world.delay = 0.01, 0.01, 6.0
+    world.repeat, world.echo_ms = 0.02, 6.0
 
 
 def move(world, rng):
@@ -123,8 +142,8 @@
             decisions.Move(at, at + 1, key, ""),
         )
     )
+    event = decisions.MovesRequested((wanted,))
     for name in world.vm_names:
-        event = decisions.MovesRequested((wanted,))
         world.at(0.0, functools.partial(world.handle, name, event), alive(world, name))
 
 
@@ -174,8 +193,10 @@
     cut,
     cut,
     split,
+    wedge,
     log_outage,
     storm,
+    echo,
     move,
     move,
     move,
@@ -185,31 +206,31 @@
 )
 
 
-def run(seed, **options):
+def run(seed, heal=True, faults=FAULTS, gaps_ms=(100.0, 300.0, 900.0), **options):
     """Run one schedule; raise when an invariant is broken or keys stay lost."""
     world = ownership_world.World(seed, **options)
     rng = world.rng
     counts = {}
-    gap = rng.choice((100.0, 300.0, 900.0))
+    gap = rng.choice(gaps_ms)
     next_fault = rng.choice((0.0, 1800.0))
     world.run_until(next_fault)
     end = world.real + FAULTY_MS
     while world.real < end:
         if world.real >= next_fault:
             next_fault = world.real + rng.uniform(0.0, 2 * gap)
-            fault = rng.choice(FAULTS)
+            fault = rng.choice(faults)
             counts[fault.__name__] = counts.get(fault.__name__, 0) + 1
             fault(world, rng)
             world.check()
         world.request(rng.choice(world.vm_names), rng.choice(world.keys))
         world.run_until(world.real + STEP_MS)
         world.check()
-    healed = heal(world)
+    healed = wait_until_healed(world) if heal else 0.0
     commits = sum(len(found) for found in world.commits.values())
     return Result(world.checks, len(world.records), commits, counts, healed)
 
 
-def heal(world):
+def wait_until_healed(world):
     """End all faults and wait until every VM routes every key to its owner."""
     start = world.real
     world.log_is_up = True
--- a/src/wasabivalve/ownership/tests/ownership_world.py
+++ b/src/wasabivalve/ownership/tests/ownership_world.py
@@ -85,6 +85,8 @@
         self.drop = 0.01
         self.late = 0.01
         self.delay = 6.0
+        self.repeat = 0.02
+        self.echo_ms = 6.0
         self.checks = 0
         self.decision_counts = {}
         self.commits = {key: [] for key in self.keys}
@@ -119,11 +121,11 @@
     def send(self, source, target, action, may_repeat=True):
         """Deliver a message to a process, perhaps late, twice or never."""
         process = self.process_by_name.get(target)
-        copies = 2 if may_repeat and self.rng.random() < 0.02 else 1
-        for _ in range(copies):
+        copies = 2 if may_repeat and self.rng.random() < self.repeat else 1
+        for copy in range(copies):
             if (source, target) in self.blocked or self.rng.random() < self.drop:
                 continue
-            delay = self.rng.uniform(0.5, self.delay)
+            delay = self.rng.uniform(0.5, self.echo_ms if copy else self.delay)
             if self.rng.random() < self.late:
                 delay += self.rng.uniform(0.0, 2500.0)
             self.at(delay, action, process)
