--- a/src/wasabivalve/ownership/successors.py
+++ b/src/wasabivalve/ownership/successors.py
@@ -2,9 +2,18 @@
 
 import collections
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Protocol
 
 from wasabivalve.routing import rendezvous
 
+
+class Listed(Protocol):
+    """Have a load and an ordered server list."""
+
+    load: float
+    servers: tuple[str, ...]
+
+
 Choose = Callable[[Sequence[str], float], tuple[str, ...]]
 
 
@@ -56,3 +65,39 @@
     for servers_of_range, load in committed:
         commit(servers_of_range, load)
     return choose
+
+
+def loads_after_loss(
+    load_by_server: Mapping[str, float], owner: str, items: Iterable[Listed]
+) -> dict[str, float]:
+    """Return the loads of the others when an owner's items go to their successors."""
+    loads = {name: load for name, load in load_by_server.items() if name != owner}
+    for item in items:
+        loads[item.servers[1]] += item.load
+    return loads
+
+
+def with_first(
+    servers: Sequence[str],
+    data_centre_by_server: Mapping[str, str],
+    load_by_server: Mapping[str, float],
+) -> tuple[str, ...]:
+    """Return a list whose first successor is the least loaded permitted server.
+
+    The data centres of a list stay as distinct as they are: the new successor takes
+    the place of one of its own data centre, or of the first.
+    """
+    centres = [data_centre_by_server.get(name) for name in servers]
+
+    def allowed(name: str) -> bool:
+        centre = data_centre_by_server.get(name)
+        return name in servers[1:] or centre != centres[0] or len(set(centres)) == 1
+
+    names = [name for name in load_by_server if name != servers[0] and allowed(name)]
+    first = min(names, key=lambda name: (load_by_server[name], name))
+    rest = [name for name in servers[1:] if name != first]
+    if first not in servers:
+        centre = data_centre_by_server.get(first)
+        same = [name for name in rest if data_centre_by_server.get(name) == centre]
+        rest.remove(same[0] if same else rest[0])
+    return servers[0], first, *rest
