Report drain progress and missing spans as observed

Cause: a trial with three entry VMs showed "draining" for a VM that did not report it, counted a VM that had left as planned among those that lag, listed thousands of missing intervals one by one, and the JSON output of get could not be given to apply.

--- a/src/wasabivalve/burn/html_page.py
+++ b/src/wasabivalve/burn/html_page.py
@@ -69,7 +69,10 @@
         # A burn below 1 with missing data is hatched and never shown as healthy.
         cells.append(_cell(text, window.state))
     cells += [
-        _cell(rendering.share_text(row.budget_left)),
+        _cell(
+            rendering.budget_text(row),
+            "missing" if row.windows[-1].missing else "",
+        ),
         _cell(rendering.hour_text(row.worst_hour)),
         _cell("-" if row.p50_ms is None else f"{row.p50_ms:.1f}"),
         _cell("-" if row.p99_ms is None else f"{row.p99_ms:.1f}"),
--- a/src/wasabivalve/burn/rendering.py
+++ b/src/wasabivalve/burn/rendering.py
@@ -3,13 +3,22 @@
 import datetime
 import json
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 from . import budget
 
 SHOWN_MISSING = 12
 
 
+class MissingSpan(NamedTuple):
+    """Name a time that a VM covered only in part or not at all, Unix time in s."""
+
+    vm: str
+    start_s: int
+    end_s: int
+    covered_s: int
+
+
 def render_table(report: budget.Report) -> str:
     """Return the report as a text table that lists the missing VM-intervals."""
     header = ["SERVICE", "RANK", "OBJECTIVE"]
@@ -62,9 +71,12 @@
     return f"{shown} (missing {missing}/{expected})" if missing else shown
 
 
-def share_text(share: float | None) -> str:
-    """Return a share in percent, or a dash for None."""
-    return "-" if share is None else f"{share:.1%}"
+def budget_text(row: budget.ObjectiveReport) -> str:
+    """Return the budget left in percent, marked when VM-intervals are missing."""
+    if row.budget_left is None:
+        return "-"
+    shown = f"{row.budget_left:.1%}"
+    return f"{shown} (of observed)" if row.windows[-1].missing else shown
 
 
 def missing_lines(report: budget.Report) -> list[str]:
@@ -74,12 +86,11 @@
         f"until {time_text(report.end_s)}; "
         f"{len(report.missing)} of {report.expected_intervals} VM-intervals missing"
     ]
-    for row in report.missing[-SHOWN_MISSING:]:
-        covered = f"{row.covered_s} of {row.interval_s} s covered"
-        lines.append(f"missing: {row.vm} from {time_text(row.start_s)}, {covered}")
-    if len(report.missing) > SHOWN_MISSING:
-        hidden = len(report.missing) - SHOWN_MISSING
-        lines.append(f"missing: {hidden} more, all listed by --output json")
+    spans = missing_spans(report.missing)
+    lines += [_span_text(span) for span in spans[-SHOWN_MISSING:]]
+    if len(spans) > SHOWN_MISSING:
+        hidden = len(spans) - SHOWN_MISSING
+        lines.append(f"missing: {hidden} more spans, all listed by --output json")
     if report.unexpected_vms:
         lines.append(f"not expected: {', '.join(report.unexpected_vms)}")
     if report.ignored_records:
@@ -89,6 +100,30 @@
     return lines
 
 
+def missing_spans(
+    missing: Sequence[budget.MissingInterval],
+) -> tuple[MissingSpan, ...]:
+    """Return adjacent missing intervals of each VM joined, in order of end."""
+    spans: list[MissingSpan] = []
+    for row in missing:
+        end_s = row.start_s + row.interval_s
+        last = spans[-1] if spans else None
+        if last and (last.vm, last.end_s) == (row.vm, row.start_s):
+            covered_s = last.covered_s + row.covered_s
+            spans[-1] = last._replace(end_s=end_s, covered_s=covered_s)
+        else:
+            spans.append(MissingSpan(row.vm, row.start_s, end_s, row.covered_s))
+    return tuple(sorted(spans, key=lambda span: (span.end_s, span.vm)))
+
+
+def _span_text(span: MissingSpan) -> str:
+    return (
+        f"missing: {span.vm} from {time_text(span.start_s)} to "
+        f"{time_text(span.end_s)}, {span.covered_s} of "
+        f"{span.end_s - span.start_s} s covered"
+    )
+
+
 def _cells(row: budget.ObjectiveReport) -> list[str]:
     return [
         row.objective.service,
@@ -98,7 +133,7 @@
             rate_text(window.rate, window.missing, window.expected)
             for window in row.windows
         ),
-        share_text(row.budget_left),
+        budget_text(row),
         hour_text(row.worst_hour),
         "-" if row.p99_ms is None else f"{row.p99_ms:.1f}",
         row.state,
--- a/src/wasabivalve/cli/configuration_commands.py
+++ b/src/wasabivalve/cli/configuration_commands.py
@@ -251,7 +251,7 @@
     for finding in findings:
         click.echo(str(finding))
     if findings:
-        click.echo(f"{len(findings)} findings")
+        click.echo(f"{len(findings)} finding{'s' if len(findings) > 1 else ''}")
     else:
         click.echo(f"{documents} documents in {files} files, no findings")
 
--- a/src/wasabivalve/cli/observation_commands.py
+++ b/src/wasabivalve/cli/observation_commands.py
@@ -38,7 +38,8 @@
 ) -> None:
     """List the resources of a kind, or show one.
 
-    The JSON form of a resource can be edited and given to apply.
+    The JSON output can be edited and given to apply, which then refuses to overwrite
+    a later write of somebody else.
     """
     keys = options.load_keys(keys_file)
     state = options.read_configuration(environment, log_url, keys).state
@@ -47,7 +48,8 @@
     if output == "json":
         document: dict[str, Any] = {
             "revision": state.revision,
-            "resources": [tables.audited_document(row) for row in found],
+            "resources": [tables.document(row) for row in found],
+            "audit": [tables.audit_document(row) for row in found],
         }
         if status:
             document["status"] = tables.status_document(status, state)
@@ -94,7 +96,7 @@
     status = observe(environment, entry_url)
     entries = _entries_of(current, kind, name)
     if output == "json":
-        document = tables.audited_document(resource)
+        document = tables.document(resource) | tables.audit_document(resource)
         document["writes"] = [_entry_document(entry) for entry in entries]
         if status:
             document["status"] = tables.status_document(status, current.state)
--- a/src/wasabivalve/cli/tables.py
+++ b/src/wasabivalve/cli/tables.py
@@ -49,10 +49,11 @@
     }
 
 
-def audited_document(resource: resources.Resource) -> dict[str, Any]:
-    """Return a resource with its author as a JSON object."""
+def audit_document(resource: resources.Resource) -> dict[str, Any]:
+    """Return who wrote a resource as a JSON object."""
     return {
-        **document(resource),
+        "kind": resource.kind,
+        "name": resource.name,
         "operator": resource.operator,
         "written_at": resource.written_at,
         "record_id": resource.record_id,
@@ -69,14 +70,7 @@
     shown = "in force" if not behind else f"in force on {total - behind} of {total} VMs"
     if resource.kind != "drain_order":
         return shown
-    spec = resource.spec
-    if "vm" in spec:
-        empty = resources.status.vm_is_empty(status, spec["vm"])
-    else:
-        empty = resources.status.instance_is_empty(
-            status, spec["service"], spec["instance"]
-        )
-    return f"{shown}, {'drained' if empty else 'draining'}"
+    return f"{shown}, {resources.status.drain_progress(status, resource.spec)}"
 
 
 def status_lines(
--- a/src/wasabivalve/cli/tests/test_operator_commands.py
+++ b/src/wasabivalve/cli/tests/test_operator_commands.py
@@ -109,6 +109,13 @@
     assert "$.spec.floor: before 0.1, after 0.3" in shown
     document = json.loads(bench.run("get", "service", "s", *URL, "--output", "json"))
     assert document["resources"][0]["spec"] == SERVICE
+    document["resources"][0]["spec"]["slots"] = 3
+    path = bench.path / "edited.json"
+    path.write_text(json.dumps(document))
+    assert "accepted" in bench.run("apply", str(path), *bench.sign)
+    bench.run(
+        "apply", bench.write(SERVICE_DOCUMENT | {"revision": 1}), *bench.sign, code=3
+    )
 
 
 def test_a_conflict_shows_the_winner_and_the_difference(bench):
--- a/src/wasabivalve/cli/verdicts.py
+++ b/src/wasabivalve/cli/verdicts.py
@@ -60,7 +60,9 @@
     if isinstance(verdict, publishing.Refused) and verdict.conflict:
         winner = verdict.conflict.winner
         found["conflict"] = {
-            "winner": None if winner is None else tables.audited_document(winner),
+            "winner": None
+            if winner is None
+            else tables.document(winner) | tables.audit_document(winner),
             "differences": [row._asdict() for row in verdict.conflict.differences],
         }
     return found
--- a/src/wasabivalve/cli/waiting_commands.py
+++ b/src/wasabivalve/cli/waiting_commands.py
@@ -249,20 +249,25 @@
     if name == "in-force":
         revision = _revision(environment, value, log_url, keys)
         return lambda status: _check_in_force(status, revision)
-    if name == "drained-vm" and value:
-        return lambda status: Check(
-            resource_status.vm_is_empty(status, value),
-            f"entry VM {value}: {status['vms'].get(value, 'not known')}",
-        )
-    service, slash, instance = value.partition("/")
-    if name == "drained" and slash and service and instance:
-        return lambda status: Check(
-            resource_status.instance_is_empty(status, service, instance),
-            f"instance {value}: {status.get('instances', {}).get(value, 'not known')}",
-        )
+    spec = _drain_spec(name, value)
+    if spec:
+        return lambda status: _check_drained(status, spec)
     raise click.UsageError(f"condition {name!r} does not take the value {value!r}")
 
 
+def _drain_spec(name: str, value: str) -> dict[str, str]:
+    if name == "drained-vm":
+        return {"vm": value} if value else {}
+    service, _, instance = value.partition("/")
+    return {"service": service, "instance": instance} if service and instance else {}
+
+
+def _check_drained(status: resource_status.EntryStatus, spec: dict[str, str]) -> Check:
+    progress = resource_status.drain_progress(status, spec)
+    seen = f"{'/'.join(spec.values())}: {progress}, as {status['vm']} reports"
+    return Check(progress == "drained", seen)
+
+
 def _revision(
     environment: options.Environment,
     value: str,
--- a/src/wasabivalve/resources/status.py
+++ b/src/wasabivalve/resources/status.py
@@ -101,6 +101,9 @@
 
 
 def _lag(vm: VmStatus, revision: int) -> str:
+    if vm["draining"] and not vm["live"]:
+        # The VM left as planned and carries no traffic.
+        return ""
     if not vm["live"]:
         return f"not live, last report {vm['age_ms'] / 1_000:.1f} s ago"
     if vm["configuration_revision"] < revision:
@@ -110,15 +113,27 @@
     return ""
 
 
-def instance_is_empty(status: EntryStatus, service: str, instance: str) -> bool:
-    """Return whether an instance is reported as draining and without requests."""
-    row = status.get("instances", {}).get(f"{service}/{instance}")
-    if not isinstance(row, Mapping) or not row.get("draining"):
-        return False
-    return row.get("in_flight") == 0
+def drain_progress(status: EntryStatus, spec: Mapping[str, Any]) -> str:
+    """Return the progress of a drain order with this spec.
 
+    One of ``drained``, ``draining``, ``not draining`` and ``not reported``.
+    """
+    if "vm" in spec:
+        return _vm_progress(status, spec["vm"])
+    row = status.get("instances", {}).get(f"{spec['service']}/{spec['instance']}")
+    if not isinstance(row, Mapping) or "draining" not in row:
+        return "not reported"
+    if not row["draining"]:
+        return "not draining"
+    return "drained" if row.get("in_flight") == 0 else "draining"
 
-def vm_is_empty(status: EntryStatus, vm: str) -> bool:
-    """Return whether an entry VM is reported as draining and has left."""
+
+def _vm_progress(status: EntryStatus, vm: str) -> str:
+    if vm == status["vm"]:
+        return "draining" if status["draining"] else "not draining"
     row = status["vms"].get(vm)
-    return row is not None and row["draining"] and not row["live"]
+    if row is None:
+        return "not reported"
+    if row["draining"]:
+        return "draining" if row["live"] else "drained"
+    return "not draining"
--- a/src/wasabivalve/resources/tests/test_resource_reading.py
+++ b/src/wasabivalve/resources/tests/test_resource_reading.py
@@ -203,6 +203,34 @@
     assert not status.lagging(entry_status(a=vm(), b=vm()), 5)
 
 
+@pytest.mark.parametrize(
+    ("spec", "progress"),
+    [
+        ({"vm": "left"}, "drained"),
+        ({"vm": "leaving"}, "draining"),
+        ({"vm": "lost"}, "not draining"),
+        ({"vm": "gone"}, "not reported"),
+        ({"service": "s", "instance": "empty"}, "drained"),
+        ({"service": "s", "instance": "busy"}, "draining"),
+        ({"service": "s", "instance": "gone"}, "not reported"),
+    ],
+)
+def test_only_a_reported_drain_counts_as_drained(spec, progress):
+    """A lost VM or an unreported instance may still hold requests."""
+    found = entry_status(
+        a=vm(),
+        left=vm(live=False, draining=True),
+        leaving=vm(draining=True),
+        lost=vm(live=False),
+    )
+    found["instances"] = {
+        "s/empty": {"draining": True, "in_flight": 0},
+        "s/busy": {"draining": True, "in_flight": 2},
+    }
+    assert status.drain_progress(found, spec) == progress
+    assert [lag.vm for lag in status.lagging(found, 5)] == ["lost"]
+
+
 def test_a_damaged_status_is_no_status():
     assert isinstance(status.parse(b'{"vm": 3}'), status.Unobserved)
     assert isinstance(status.parse(b"{"), status.Unobserved)
--- a/src/wasabivalve/resources/validation.py
+++ b/src/wasabivalve/resources/validation.py
@@ -12,6 +12,8 @@
 
 # Stands in the file column for a resource that only the log holds.
 LOG_FILE = "(log)"
+# Members of the JSON output of ``get`` beside its resources, which are not written.
+GET_MEMBERS = frozenset({"resources", "revision", "audit", "status"})
 # An object with one of these members is a settings file, not a resource.
 SETTINGS_MEMBERS = frozenset({"vm", "callers", "peer", "peers"})
 
@@ -63,7 +65,8 @@
         ]
     if (
         isinstance(content, dict)
-        and content.keys() == {"resources"}
+        and "resources" in content
+        and content.keys() <= GET_MEMBERS
         and isinstance(content["resources"], list)
     ):
         return [
