--- a/src/wasabivalve/routing/instances.py
+++ b/src/wasabivalve/routing/instances.py
@@ -80,6 +80,11 @@
         seen.samples += 1
         seen.observed_at = now
 
+    def on_cancel(self, instance: str, now: float) -> None:
+        """Take back ``on_start`` for a request that the instance did not get."""
+        seen = self._get(instance, now)
+        seen.in_flight = max(0, seen.in_flight - 1)
+
     def on_report(self, instance: str, load: float, now: float) -> None:
         """Record the load that an instance reports of itself."""
         seen = self._get(instance, now)
