Keep idempotency records on a majority of three holders fixed by the key's time

Cause: with two holders of the present view, all keys of a lost holder were answered unknown for 3 s, because the new pair could not vouch for the past. Change: three holders, chosen by the views around the time in the key; a run needs a majority of every set that another VM may choose. Conclusion: the loss of one holder no longer leaves a request in doubt.

--- a/benchmarks/holder_memory.py
+++ b/benchmarks/holder_memory.py
@@ -6,7 +6,7 @@
 import tracemalloc
 import uuid
 
-from wasabivalve import deduplication, outcomes, routing
+from wasabivalve import deduplication, outcomes
 
 WALL_MS = 1_700_000_000_000.0
 
@@ -24,16 +24,8 @@
 def measure(count: int, body_bytes: int, seed: int) -> dict[str, float]:
     """Return the traced bytes per key of a table filled with this many keys."""
     generator = random.Random(seed)
-    view = deduplication.View(
-        {
-            "entry-1": routing.Place("khomas-a", "khomas"),
-            "entry-2": routing.Place("khomas-b", "khomas"),
-        },
-        2,
-    )
-    table = deduplication.HolderTable("entry-1")
-    for now in range(0, 4_000, 500):
-        table.note_view(view, WALL_MS + now, float(now))
+    table = deduplication.HolderTable()
+    table.tick(WALL_MS)
     tracemalloc.start()
     keys = []
     for number in range(count):
@@ -41,9 +33,10 @@
         key = _key(int(WALL_MS + now), generator)
         attempt = f"{generator.getrandbits(64):016x}"
         digest = f"{generator.getrandbits(256):064x}"
-        sent_at = deduplication.first_sent_at_ms(key, WALL_MS + now)
+        sent_at = deduplication.time_of_key_ms(key)
+        assert sent_at is not None
         reply = table.reserve(
-            key, digest, sent_at, "entry-2", view, WALL_MS + now, now, attempt=attempt
+            key, digest, sent_at, "entry-2", WALL_MS + now, now, attempt=attempt
         )
         assert reply["outcome"] == "reserved", reply
         keys.append((key, attempt))
--- a/src/wasabivalve/deduplication/__init__.py
+++ b/src/wasabivalve/deduplication/__init__.py
@@ -1,7 +1,7 @@
-"""Idempotency records on two entry VMs: at most one run per key."""
+"""Idempotency records on three entry VMs: at most one run per key."""
 
-from .core import HolderTable, first_sent_at_ms, is_malformed, time_of_key_ms
-from .holders import View, holders_of
+from .core import WINDOW_MS, HolderTable, is_malformed, time_of_key_ms
+from .holders import View, ViewHistory, holders_of
 from .requester import (
     Answered,
     Conflict,
@@ -12,12 +12,13 @@
 )
 
 __all__ = [
+    "WINDOW_MS",
     "Answered",
     "Conflict",
     "HolderTable",
     "Proceed",
     "View",
-    "first_sent_at_ms",
+    "ViewHistory",
     "holders_of",
     "is_malformed",
     "outcome_of_record",
--- a/src/wasabivalve/deduplication/core.py
+++ b/src/wasabivalve/deduplication/core.py
@@ -9,16 +9,14 @@
 
 from wasabivalve.schema import messages_generated
 
-from . import holders
-
 WINDOW_MS = 900_000.0
 """Time for which a key is remembered."""
 
-CHANGE_MARGIN_MS = 3_000.0
-"""Time after a change of holders in which a key may have been reserved elsewhere.
+START_MARGIN_MS = 3_000.0
+"""A holder reserves only keys first sent this long after its start.
 
-It covers the time for which views differ (2 s) and the clock error between
-caller and holder (1 s).
+An earlier process of the VM may have reserved others. It covers the clock error
+between caller and holder (1 s) with room to spare.
 """
 
 CLOCK_ERROR_MS = 1_000.0
@@ -72,12 +70,6 @@
     return float(parsed.int >> 80)
 
 
-def first_sent_at_ms(key: str, wall_now_ms: float) -> float:
-    """Return the time of a key; one window ago when the key has none."""
-    time = time_of_key_ms(key)
-    return wall_now_ms - WINDOW_MS if time is None else time
-
-
 def is_malformed(first_sent_at_ms: float, wall_now_ms: float) -> bool:
     """Return whether a key is from so far in the future that it is malformed."""
     return first_sent_at_ms > wall_now_ms + MOST_AHEAD_MS
@@ -88,15 +80,13 @@
 
     def __init__(
         self,
-        vm: str,
         *,
         most_records: int = MOST_RECORDS,
         most_answer_bytes: int = MOST_ANSWER_BYTES,
     ) -> None:
-        self._vm = vm
+        self._started_at_ms: float | None = None
         self._most_records = most_records
         self._most_answer_bytes = most_answer_bytes
-        self._history = holders.ViewHistory(vm, WINDOW_MS + 2 * CHANGE_MARGIN_MS)
         self._record_by_key: dict[str, _Record] = {}
         self._keys_by_second: dict[int, list[str]] = {}
         self._seconds: list[int] = []
@@ -107,13 +97,11 @@
         """Return the number of records."""
         return len(self._record_by_key)
 
-    def note_view(self, view: holders.View, wall_now_ms: float, now: float) -> None:
-        """Note the view; must be called on each change and every 500 ms.
-
-        A longer gap counts as a pause, after which older keys are unknown.
-        """
+    def tick(self, wall_now_ms: float) -> None:
+        """Remove the records whose window is over."""
+        if self._started_at_ms is None:
+            self._started_at_ms = wall_now_ms
         self._latest_wall_ms = max(self._latest_wall_ms, wall_now_ms)
-        self._history.note(view, wall_now_ms, now)
         self._remove_old()
 
     def reserve(
@@ -122,7 +110,6 @@
         body_digest: str,
         first_sent_at_ms: float,
         vm: str,
-        view: holders.View,
         wall_now_ms: float,
         now: float,
         *,
@@ -131,22 +118,20 @@
         """Reserve a key for one attempt of a requesting VM.
 
         ``attempt`` is a random id. A repeated call for a running attempt returns
-        ``reserved`` again.
+        ``reserved`` again. The reply ``refused`` is no vote; ``unknown`` states
+        that the request may have run.
         """
-        self.note_view(view, wall_now_ms, now)
-        since = self._history.holder_since_ms(key, wall_now_ms, now)
+        self.tick(wall_now_ms)
         record = self._record_by_key.get(key)
         digest = xxhash.xxh3_128_digest(body_digest.encode())
-        if since is None:
-            return _reply(key, "refused")
         if record is not None and record.digest != digest:
             return _reply(key, "conflict")
         if record is not None and record.state != "free":
             return self._reply_of_record(key, record, vm, attempt, now)
-        if is_malformed(first_sent_at_ms, wall_now_ms):
-            return _reply(key, "refused")
-        if self._may_have_been_reserved(first_sent_at_ms, since):
+        if self._is_outside_window(first_sent_at_ms):
             return _reply(key, "unknown")
+        if not self._may_vote(first_sent_at_ms, wall_now_ms):
+            return _reply(key, "refused")
         if record is not None and (record.vm, record.attempt) == (vm, attempt):
             # A late copy of a message must not reserve an ended attempt again.
             return _reply(key, "refused")
@@ -186,11 +171,15 @@
         record.state = "answered"
         return True
 
-    def _may_have_been_reserved(self, first_sent_ms: float, since_ms: float) -> bool:
+    def _is_outside_window(self, first_sent_ms: float) -> bool:
         # The latest wall time counts, so that a clock set back does not bring
         # back keys whose records were removed.
-        oldest = self._latest_wall_ms - WINDOW_MS - CLOCK_ERROR_MS
-        return first_sent_ms < max(oldest, since_ms + CHANGE_MARGIN_MS)
+        return first_sent_ms < self._latest_wall_ms - WINDOW_MS - CLOCK_ERROR_MS
+
+    def _may_vote(self, first_sent_ms: float, wall_now_ms: float) -> bool:
+        started_at_ms = self._started_at_ms or wall_now_ms
+        is_remembered = first_sent_ms >= started_at_ms + START_MARGIN_MS
+        return is_remembered and not is_malformed(first_sent_ms, wall_now_ms)
 
     def _reply_of_record(
         self, key: str, record: _Record, vm: str, attempt: str, now: float
--- a/src/wasabivalve/deduplication/holders.py
+++ b/src/wasabivalve/deduplication/holders.py
@@ -1,26 +1,32 @@
-"""Choose the two record holders of a key and follow their changes."""
+"""Choose the record holders of a key by the views around its first sending."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from wasabivalve.routing import places, rendezvous
 
-LONGEST_GAP_MS = 1_000.0
-"""A longer time between two calls counts as a pause of this VM.
+HOLDERS = 3
+"""Copies of a record; a majority of them decides, so one may be lost."""
+
+VIEW_AGE_MS = 3_000.0
+"""A key's holders are chosen by the view this long before it was first sent."""
+
+VIEW_ERROR_MS = 3_000.0
+"""VMs see a change up to 2 s apart and their clocks differ by up to 1 s."""
 
-Other VMs suspect it after this time and may have chosen other holders.
-"""
+LONGEST_GAP_MS = 1_000.0
+"""A longer time between two notes counts as a pause, in which views were missed."""
 
 MOST_VIEWS = 256
-"""Views kept; with more changes in one window, keys count as unknown sooner."""
+"""Views kept; with more changes in one window, older keys have no holders."""
+
+Holders = frozenset[str]
 
 
 class View(NamedTuple):
     """Describe the entry VMs that exchange messages with this VM both ways.
 
-    ``place_by_vm`` includes this VM. A VM that is heard but does not hear this
-    VM must be left out, since it may have chosen other holders. ``total`` is
-    the number of all entry VMs.
+    ``place_by_vm`` includes this VM; ``total`` is the number of all entry VMs.
     """
 
     place_by_vm: Mapping[str, places.Place]
@@ -31,44 +37,46 @@
         return 2 * len(self.place_by_vm) > self.total
 
 
-def holders_of(key: str, view: View) -> tuple[str, str] | None:
-    """Return the two holders of a key, or None without a majority or second VM.
+def holders_of(key: str, view: View) -> Holders | None:
+    """Return the holders of a key, or None without a majority in view.
 
     The second is in another data centre of the first one's region if there is
-    one, else in another data centre, else on any other VM.
+    one, and the third in a third data centre, so that the loss of a data centre
+    or of the link between regions leaves a majority.
     """
-    return _pick(rendezvous.rank_names(f"holder/{key}", view.place_by_vm), view)
-
-
-def _pick(ranked: Iterable[str], view: View) -> tuple[str, str] | None:
     if not view.has_majority():
         return None
-    live = [name for name in ranked if name in view.place_by_vm]
-    if len(live) < 2:
-        return None
-    first = view.place_by_vm[live[0]]
+    waiting = list(rendezvous.rank_names(f"holder/{key}", view.place_by_vm))
+    chosen = [waiting.pop(0)]
+    region = view.place_by_vm[chosen[0]].region
+    while waiting and len(chosen) < HOLDERS:
+        used = {view.place_by_vm[name].data_centre for name in chosen}
+
+        def distance(name: str, used: set[str] = used) -> tuple[bool, bool]:
+            place = view.place_by_vm[name]
+            return place.data_centre in used, place.region != region
 
-    def distance(name: str) -> int:
-        place = view.place_by_vm[name]
-        if place.data_centre == first.data_centre:
-            return 2
-        return int(place.region != first.region)
+        # min() keeps the order of the ranking among equals.
+        nearest = min(waiting, key=distance)
+        waiting.remove(nearest)
+        chosen.append(nearest)
+    return frozenset(chosen)
 
-    # min() keeps the order of the ranking among equals.
-    return live[0], min(live[1:], key=distance)
+
+def has_quorum(holders: Holders, reserved: frozenset[str]) -> bool:
+    """Return whether a majority of the holders has reserved a key."""
+    return 2 * len(holders & reserved) > len(holders)
 
 
 class _Noted(NamedTuple):
     view: View
     now: float
-    wall_ms: float
 
 
 class ViewHistory:
-    """Hold the views of one window, to tell since when holders are holders."""
+    """Hold the views of one VM over one window."""
 
-    def __init__(self, vm: str, window_ms: float) -> None:
-        self._vm = vm
+    def __init__(self, window_ms: float) -> None:
         self._window_ms = window_ms
         self._noted: list[_Noted] = []
         self._last_now: float | None = None
@@ -88,30 +96,34 @@
         self._last_now = now
         self._last_wall_ms = wall_now_ms
         if not self._noted or self._noted[-1].view != view:
-            self._noted.append(_Noted(view, now, wall_now_ms))
+            self._noted.append(_Noted(view, now))
             self._forget(now)
 
-    def holders(self, key: str) -> tuple[str, str] | None:
-        """Return the present holders of a key in the view of this VM."""
-        return holders_of(key, self._noted[-1].view)
-
-    def holder_since_ms(self, key: str, wall_now_ms: float, now: float) -> float | None:
-        """Return the wall time in ms since which the present pair holds a key.
+    def candidates(
+        self, key: str, first_sent_ms: float, wall_now_ms: float, now: float
+    ) -> frozenset[Holders]:
+        """Return the holder sets that any VM may choose for a key.
 
-        The result is None when this VM is not one of the pair.
+        Two VMs may have different views of one instant, but each has seen the
+        other's within the error, so their candidates have one set in common. A
+        majority of every candidate therefore meets every earlier majority. The
+        result is empty when the history does not cover the time or a view in it
+        had no majority.
         """
-        names = {name for noted in self._noted for name in noted.view.place_by_vm}
-        ranked = rendezvous.rank_names(f"holder/{key}", names)
-        pair = _pick(ranked, self._noted[-1].view)
-        if pair is None or self._vm not in pair:
-            return None
-        since = self._noted[-1]
-        for noted in reversed(self._noted):
-            if _pick(ranked, noted.view) != pair:
-                break
-            since = noted
-        # The later of two readings is safe when the wall clock was set meanwhile.
-        return max(since.wall_ms, wall_now_ms - (now - since.now))
+        middle = now - (wall_now_ms - first_sent_ms) - VIEW_AGE_MS
+        earliest, latest = middle - VIEW_ERROR_MS, middle + VIEW_ERROR_MS
+        if not self._noted or self._noted[0].now > earliest:
+            return frozenset()
+        found = set()
+        for index, noted in enumerate(self._noted):
+            following = self._noted[index + 1 : index + 2]
+            if noted.now > latest or (following and following[0].now < earliest):
+                continue
+            holders = holders_of(key, noted.view)
+            if holders is None:
+                return frozenset()
+            found.add(holders)
+        return frozenset(found)
 
     def _forget(self, now: float) -> None:
         # The newest view that is older than the window still describes its start.
--- a/src/wasabivalve/deduplication/requester.py
+++ b/src/wasabivalve/deduplication/requester.py
@@ -1,30 +1,30 @@
-"""Combine the replies of the two record holders for the requesting VM."""
+"""Combine the replies of the record holders for the requesting VM."""
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Collection, Mapping
 
 from wasabivalve import outcomes
 from wasabivalve.schema import messages_generated
 
-from . import core
+from . import core, holders
 
 NOT_RESERVED = "not_reserved"
-NO_HOLDER_ANSWERED = "no_holder_answered"
+NO_QUORUM = "too_few_record_holders"
 IN_PROGRESS = "in_progress"
 MAY_HAVE_RUN = "may_have_run"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Proceed:
-    """Run the request; both holders reserved its key."""
+    """Run the request; a majority of its holders reserved its key."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
     """Give the outcome to the caller without a run.
 
-    ``record`` goes to both holders as the answer of this attempt; it releases a
-    reservation that only one of them made.
+    ``record`` goes to the holders as the answer of this attempt; it releases the
+    reservations that some of them made.
     """
 
     outcome: outcomes.Outcome
@@ -39,17 +39,21 @@
 
 
 def reservation_outcome(
-    replies: Sequence[messages_generated.ReserveReply | None],
-) -> Proceed | Answered | Conflict:
-    """Combine the replies of two holders, None for one that did not reply.
-
-    The caller is told "not run" only when one holder reserved the key, since
-    that holder would know of an earlier attempt.
+    candidates: Collection[holders.Holders],
+    reply_by_holder: Mapping[str, messages_generated.ReserveReply],
+    *,
+    is_last: bool,
+) -> Proceed | Answered | Conflict | None:
+    """Combine the replies so far; None while another reply may decide.
+
+    A run needs a majority of every candidate set. Without it the request may
+    have run before under holders that are gone.
     """
-    found = [reply["outcome"] if reply is not None else "refused" for reply in replies]
     release = record_of_outcome(outcomes.NotRun(NOT_RESERVED))
+    replies = list(reply_by_holder.values())
+    found = [reply["outcome"] for reply in replies]
     for reply in replies:
-        if reply is not None and reply["outcome"] == "recorded":
+        if reply["outcome"] == "recorded":
             answer = reply.get("answer") or core.unknown_answer(MAY_HAVE_RUN)
             return Answered(outcome_of_record(answer), answer)
     if "conflict" in found:
@@ -58,11 +62,14 @@
         return Answered(outcomes.Unknown(IN_PROGRESS), release)
     if "unknown" in found:
         return Answered(outcomes.Unknown(MAY_HAVE_RUN), release)
-    if found == ["reserved", "reserved"]:
+    reserved = frozenset(
+        name
+        for name, reply in reply_by_holder.items()
+        if reply["outcome"] == "reserved"
+    )
+    if candidates and all(holders.has_quorum(row, reserved) for row in candidates):
         return Proceed()
-    if "reserved" in found:
-        return Answered(outcomes.NotRun(NOT_RESERVED), release)
-    return Answered(outcomes.Unknown(NO_HOLDER_ANSWERED), release)
+    return Answered(outcomes.Unknown(NO_QUORUM), release) if is_last else None
 
 
 def record_of_outcome(
--- a/src/wasabivalve/deduplication/tests/test_deduplication_schedules.py
+++ b/src/wasabivalve/deduplication/tests/test_deduplication_schedules.py
@@ -3,9 +3,11 @@
 import random
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from wasabivalve import deduplication, outcomes, routing
+from wasabivalve.deduplication import core, holders
 
 WALL = 1_700_000_000_000.0
 STEP_MS = 250.0
@@ -32,7 +34,8 @@
         self.restart(now)
 
     def restart(self, now):
-        self.table = deduplication.HolderTable(self.name)
+        self.table = deduplication.HolderTable()
+        self.history = deduplication.ViewHistory(900_000.0)
         self.tick(now)
 
     def tick(self, now):
@@ -40,7 +43,8 @@
             self.seen = self.pending.pop(0)[1]
         places = {name: PLACES[name] for name in sorted(self.seen | {self.name})}
         self.view = deduplication.View(places, len(PLACES))
-        self.table.note_view(self.view, WALL + now + self.offset, now)
+        self.history.note(self.view, WALL + now + self.offset, now)
+        self.table.tick(WALL + now + self.offset)
 
     def learn(self, reachable, now):
         seen = reachable | {self.name}
@@ -48,10 +52,13 @@
         due = max(earliest, now + self.generator.uniform(0.0, DELAY_MS))
         self.pending.append((min(due, now + DELAY_MS), seen))
 
+    def candidates(self, key, sent_at, now):
+        return self.history.candidates(key, sent_at, WALL + now + self.offset, now)
+
     def reserve(self, key, sent_at, requester, attempt, now):
         wall = WALL + now + self.offset
         return self.table.reserve(
-            key, "d", sent_at, requester, self.view, wall, now, attempt=attempt
+            key, "d", sent_at, requester, wall, now, attempt=attempt
         )
 
 
@@ -120,27 +127,34 @@
             return
         key = self.choose_key()
         attempt = f"{self.generator.random()}"
-        pair = deduplication.holders_of(key, requester.view)
-        if pair is None:
-            return
         sent_at = self.sent_at_by_key[key]
-        holders = [self.vms[name] for name in pair]
-        replies = [
-            holder.reserve(key, sent_at, requester.name, attempt, self.now)
-            if self.connected(requester, holder) and self.generator.random() < 0.95
-            else None
-            for holder in holders
-        ]
-        result = deduplication.reservation_outcome(replies)
+        candidates = requester.candidates(key, sent_at, self.now)
+        asked = [self.vms[name] for name in sorted(set().union(*candidates))]
+        replies = {}
+        result = None
+        for holder in self.generator.sample(asked, len(asked)):
+            if self.connected(requester, holder) and self.generator.random() < 0.95:
+                replies[holder.name] = holder.reserve(
+                    key, sent_at, requester.name, attempt, self.now
+                )
+            result = deduplication.reservation_outcome(
+                candidates, replies, is_last=False
+            )
+            if result is not None:
+                break
+        if result is None:
+            result = deduplication.reservation_outcome(
+                candidates, replies, is_last=True
+            )
         if isinstance(result, deduplication.Proceed):
             assert key not in self.run_keys, f"{key} would run twice"
             self.run_keys.add(key)
             self.proceeded += 1
-            self.running.append((key, requester, attempt, holders))
+            self.running.append((key, requester, attempt, asked))
         elif isinstance(result, deduplication.Answered):
             if isinstance(result.outcome, outcomes.NotRun):
                 assert key not in self.run_keys, f"{key} was run before"
-            self.record(key, requester, attempt, holders, result.record)
+            self.record(key, requester, attempt, asked, result.record)
 
     def choose_key(self):
         keys = list(self.sent_at_by_key)
@@ -154,7 +168,7 @@
     def finish(self):
         self.generator.shuffle(self.running)
         while len(self.running) > 4:
-            key, requester, attempt, holders = self.running.pop()
+            key, requester, attempt, asked = self.running.pop()
             outcome = outcomes.Unknown("reset")
             draw = self.generator.random()
             if draw < 0.3:
@@ -163,10 +177,10 @@
             elif draw < 0.8:
                 outcome = outcomes.Done(200, (), b"")
             answer = deduplication.record_of_outcome(outcome)
-            self.record(key, requester, attempt, holders, answer)
+            self.record(key, requester, attempt, asked, answer)
 
-    def record(self, key, requester, attempt, holders, answer):
-        for holder in holders:
+    def record(self, key, requester, attempt, asked, answer):
+        for holder in asked:
             if self.connected(requester, holder) and self.generator.random() < 0.9:
                 holder.table.record_answer(key, requester.name, attempt, answer)
 
@@ -188,3 +202,17 @@
 def test_schedules_let_requests_run():
     """Guard the schedules themselves: one in which nothing runs checks nothing."""
     assert sum(run_schedule(seed) for seed in range(10)) > 500
+
+
+@pytest.mark.parametrize("rule", ["view error", "quorum", "start margin"])
+def test_schedules_find_a_rule_that_is_left_out(rule, monkeypatch):
+    """Guard the schedules themselves: a wrong rule must lead to a second run."""
+    if rule == "view error":
+        monkeypatch.setattr(holders, "VIEW_ERROR_MS", 0.0)
+    elif rule == "quorum":
+        monkeypatch.setattr(holders, "has_quorum", lambda row, reserved: row & reserved)
+    else:
+        monkeypatch.setattr(core, "START_MARGIN_MS", float("-inf"))
+    with pytest.raises(AssertionError, match="run"):
+        for seed in range(400):
+            run_schedule(seed)
--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -121,7 +121,7 @@
             settings,
             self._serve,
             {"/-/status": self._status},
-            lambda: self._configuration.view() is not None,
+            self._is_ready,
         )
 
     def start(self) -> None:
@@ -187,11 +187,15 @@
         if prepared.idempotent:
             return self._path.run(prepared)
         key = prepared.request.idempotency_key
-        first_sent = deduplication.first_sent_at_ms(key, clock.wall_ms())
+        first_sent = deduplication.time_of_key_ms(key)
+        if first_sent is None:
+            # Holders are chosen by the time at which a key was first sent.
+            reason = f"Idempotency-Key {key!r} is not a UUID of version 7"
+            return caller_request.Problem(400, "not-run", reason)
         if deduplication.is_malformed(first_sent, clock.wall_ms()):
             reason = f"Idempotency-Key {key!r} is from the future"
             return caller_request.Problem(400, "not-run", reason)
-        reservation = self._deduplicator.reserve(prepared.request)
+        reservation = self._deduplicator.reserve(prepared.request, first_sent)
         if isinstance(reservation.verdict, deduplication.Conflict):
             reason = "Idempotency-Key was used with another request"
             return caller_request.Problem(422, "not-run", reason)
@@ -204,6 +208,11 @@
             self._deduplicator.record(reservation, outcome)
         return outcome
 
+    def _is_ready(self) -> bool:
+        """Return whether to take traffic: with proved configuration and holders."""
+        has_configuration = self._configuration.view() is not None
+        return has_configuration and self._deduplicator.is_settled()
+
     def _live_peers(self) -> list[str]:
         own = self._settings["vm"]
         return [
@@ -278,11 +287,10 @@
     def _status(self) -> dict[str, Any]:
         published = self._published
         now = clock.monotonic_ms()
-        view = self._configuration.view()
         return {
             "vm": self._settings["vm"],
             "configuration_revision": self._configuration.state.revision,
-            "ready": view is not None,
+            "ready": self._is_ready(),
             "draining": self._stopping.is_set(),
             "vms": {
                 vm: {
--- a/src/wasabivalve/entry/deduplicator.py
+++ b/src/wasabivalve/entry/deduplicator.py
@@ -20,7 +20,7 @@
 
 
 class Reservation(NamedTuple):
-    """Carry what the two record holders decided about one attempt."""
+    """Carry what the record holders decided about one attempt."""
 
     key: str
     attempt: str
@@ -36,38 +36,80 @@
         self._bus = bus
         self._view = view
         self._lock = threading.Lock()
-        self._table = deduplication.HolderTable(vm)
+        self._table = deduplication.HolderTable()
+        self._history = deduplication.ViewHistory(2 * deduplication.WINDOW_MS)
 
     def tick(self) -> None:
         """Note the present view; must be called several times a second."""
+        wall, now = clock.wall_ms(), clock.monotonic_ms()
         with self._lock:
-            self._table.note_view(self._view(), clock.wall_ms(), clock.monotonic_ms())
+            self._history.note(self._view(), wall, now)
+            self._table.tick(wall)
 
-    def reserve(self, request: caller_request.CallerRequest) -> Reservation:
-        """Reserve the idempotency key of a request on both holders."""
+    def is_settled(self) -> bool:
+        """Return whether keys that are sent now have record holders."""
+        wall, now = clock.wall_ms(), clock.monotonic_ms()
+        with self._lock:
+            return bool(self._history.candidates("", wall, wall, now))
+
+    def reserve(
+        self, request: caller_request.CallerRequest, first_sent_at_ms: float
+    ) -> Reservation:
+        """Reserve the idempotency key of a request on a majority of its holders."""
         key = request.idempotency_key
         attempt = uuid.uuid4().hex
-        holders = deduplication.holders_of(key, self._view()) or ()
+        with self._lock:
+            candidates = self._history.candidates(
+                key, first_sent_at_ms, clock.wall_ms(), clock.monotonic_ms()
+            )
         message: messages_generated.ReserveRequest = {
             "key": key,
             "body_digest": digest_of(request),
-            "first_sent_at_ms": deduplication.first_sent_at_ms(key, clock.wall_ms()),
+            "first_sent_at_ms": first_sent_at_ms,
             "vm": self._vm,
             "attempt": attempt,
         }
-        pending = [
-            self._bus.request(holder, "reserve_request", message) for holder in holders
-        ]
-        ends_at = clock.monotonic_ms() + RESERVE_TIMEOUT_MS
-        replies = [self._wait(future, ends_at) for future in pending]
-        verdict = deduplication.reservation_outcome(replies or (None, None))
-        reservation = Reservation(key, attempt, tuple(holders), verdict)
+        names = sorted(set().union(*candidates))
+        holder_by_future = {
+            self._bus.request(name, "reserve_request", message): name for name in names
+        }
+        verdict = self._collect(candidates, holder_by_future)
+        reservation = Reservation(key, attempt, tuple(names), verdict)
         if not isinstance(verdict, deduplication.Proceed):
             self._send_record(reservation, verdict.record)
         return reservation
 
+    def _collect(
+        self,
+        candidates: frozenset[frozenset[str]],
+        holder_by_future: dict[futures.Future[messages_generated.ReserveReply], str],
+    ) -> Verdict:
+        """Wait until the replies decide, or no more are expected."""
+        ends_at = clock.monotonic_ms() + RESERVE_TIMEOUT_MS
+        waiting = set(holder_by_future)
+        replies: dict[str, messages_generated.ReserveReply] = {}
+        while True:
+            left_ms = ends_at - clock.monotonic_ms()
+            is_last = not waiting or left_ms <= 0
+            verdict = deduplication.reservation_outcome(
+                candidates, replies, is_last=is_last
+            )
+            if verdict is not None:
+                break
+            done, waiting = futures.wait(
+                waiting, left_ms / 1000, return_when=futures.FIRST_COMPLETED
+            )
+            replies |= {
+                holder_by_future[future]: future.result()
+                for future in done
+                if future.exception() is None
+            }
+        for future in waiting:
+            self._bus.forget(future)
+        return verdict
+
     def record(self, reservation: Reservation, outcome: outcomes.Outcome) -> None:
-        """Store the outcome of a run on both holders."""
+        """Store the outcome of a run on the holders."""
         self._send_record(reservation, deduplication.record_of_outcome(outcome))
 
     def on_reserve(self, incoming: peers.Incoming) -> None:
@@ -79,7 +121,6 @@
                 message["body_digest"],
                 message["first_sent_at_ms"],
                 incoming.sender,
-                self._view(),
                 clock.wall_ms(),
                 clock.monotonic_ms(),
                 attempt=message["attempt"],
@@ -94,16 +135,6 @@
                 message["key"], incoming.sender, message["attempt"], message["answer"]
             )
 
-    def _wait(
-        self, future: futures.Future[messages_generated.ReserveReply], ends_at: float
-    ) -> messages_generated.ReserveReply | None:
-        left_ms = max(0.0, ends_at - clock.monotonic_ms())
-        try:
-            return future.result(left_ms / 1000)
-        except (futures.TimeoutError, peers.PeerLostError):
-            self._bus.forget(future)
-            return None
-
     def _send_record(
         self, reservation: Reservation, answer: messages_generated.RecordedAnswer
     ) -> None:
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -15,7 +15,6 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 25.0
-SETTLE_S = 5.0
 OPERATOR = "operator-1"
 OPERATOR_KEY = "5a" * 32
 
@@ -121,8 +120,6 @@
             self.start_entry(vm)
         for vm in self.entry_port_by_vm:
             self.wait_until_ready(vm)
-        # Record holders accept only keys first sent 3 s after they found each other.
-        time.sleep(SETTLE_S)
 
     def start_entry(self, vm: str) -> None:
         """Start one entry VM."""
