End requests to a peer as soon as its connection closes

Cause: after the loss of a dispatcher, requests waited up to 1.25 s for its suspicion. Change: the bus watches disconnections; sending without a connection fails the request at once.

--- a/src/wasabivalve/peers/core.py
+++ b/src/wasabivalve/peers/core.py
@@ -112,6 +112,10 @@
             for peer in self._options.peers
             if peer["vm"] != self._options.vm
         }
+        self._peer_by_monitor = {
+            sender.get_monitor_socket(zmq.EVENT_DISCONNECTED): vm
+            for vm, sender in self._sender_by_vm.items()
+        }
         self._thread.start()
 
     def close(self) -> None:
@@ -120,7 +124,11 @@
         self._wake()
         self._thread.join()
         for sender in self._sender_by_vm.values():
+            sender.disable_monitor()
             sender.close(linger=0)
+        # An open monitor would keep the context from ending.
+        for monitor in self._peer_by_monitor:
+            monitor.close(linger=0)
         self._receiver.close(linger=0)
         self._authenticator.stop()
         self._context.term()
@@ -161,9 +169,12 @@
         """End the requests to a peer with ``PeerLostError``."""
         for correlation, pending in list(self._pending_by_id.items()):
             if pending.peer == peer:
-                future = self._claim(correlation)
-                if future is not None:
-                    future.set_exception(PeerLostError(peer))
+                self._fail(correlation, peer)
+
+    def _fail(self, correlation: bytes, peer: str) -> None:
+        future = self._claim(correlation)
+        if future is not None:
+            future.set_exception(PeerLostError(peer))
 
     def _enqueue(
         self,
@@ -217,12 +228,22 @@
         poller = zmq.Poller()
         poller.register(self._receiver, zmq.POLLIN)
         poller.register(self._wake_reader, zmq.POLLIN)
+        for monitor in self._peer_by_monitor:
+            poller.register(monitor, zmq.POLLIN)
         while not self._closing.is_set():
-            poller.poll(POLL_MS)
+            ready = dict(poller.poll(POLL_MS))
+            self._note_disconnections(ready)
             self._drain_wakes()
             self._send_all()
             self._receive_all()
 
+    def _note_disconnections(self, ready: Mapping[Any, int]) -> None:
+        """End the requests to peers whose connection closed; no reply can come."""
+        for monitor, vm in self._peer_by_monitor.items():
+            if monitor in ready:
+                monitor.recv_multipart()
+                self.fail_pending(vm)
+
     def _drain_wakes(self) -> None:
         try:
             while self._wake_reader.recv(4096):
@@ -249,6 +270,8 @@
         try:
             sender.send_multipart(outgoing.frames, zmq.NOBLOCK)
         except zmq.Again:
+            # There is no connection, or its queue is full.
+            self._fail(outgoing.frames[1], outgoing.peer)
             return
         size = sum(len(frame) for frame in outgoing.frames)
         self.bytes_sent_by_kind[outgoing.frames[0].decode()] += size
