--- a/src/wasabivalve/schema/messages_generated.py
+++ b/src/wasabivalve/schema/messages_generated.py
@@ -201,6 +201,7 @@
     crashes: int
     quarantined: bool
     remaining_ms: float
+    instance: str
 
 
 class LogRelayRequest(TypedDict):
