Refuse to replay past missing records, and republish the configuration

Cause: in a trial with a log that retains 12 records, an entry VM that started after retention had removed the first writes put revision 7 in force without the services billdesk and linencount. A name with a final line feed also passed its pattern, and a wrong URL ended a command with a traceback.

--- a/src/wasabivalve/cli/core.py
+++ b/src/wasabivalve/cli/core.py
@@ -11,6 +11,7 @@
     configuration_commands,
     observation_commands,
     report_commands,
+    retention_command,
     waiting_commands,
 )
 
@@ -26,6 +27,7 @@
     observation_commands,
     waiting_commands,
     report_commands,
+    retention_command,
     completion_command,
 ):
     _module.add_to(main)
--- a/src/wasabivalve/cli/options.py
+++ b/src/wasabivalve/cli/options.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple, NoReturn
 
 import click
+import urllib3
 
 from wasabivalve import platform_log, resources
 
@@ -59,12 +60,27 @@
     return f"Exit codes: {'; '.join(rows)}."
 
 
+def _check_url(
+    context: click.Context, parameter: click.Parameter, value: str | None
+) -> str | None:
+    if value is None:
+        return None
+    try:
+        url = urllib3.util.parse_url(value)
+    except urllib3.exceptions.LocationParseError as error:
+        raise click.BadParameter(str(error)) from error
+    if url.scheme not in ("http", "https") or not url.host:
+        raise click.BadParameter(f"{value!r} is not an HTTP URL")
+    return value
+
+
 log_option = click.option(
     "--log",
     "log_url",
     envvar="WASABIVALVE_LOG",
     required=True,
     metavar="URL",
+    callback=_check_url,
     help="Base URL of the log service [WASABIVALVE_LOG].",
 )
 optional_log_option = click.option(
@@ -72,6 +88,7 @@
     "log_url",
     envvar="WASABIVALVE_LOG",
     metavar="URL",
+    callback=_check_url,
     help="Base URL of the log service [WASABIVALVE_LOG].",
 )
 entry_option = click.option(
@@ -79,6 +96,7 @@
     "entry_url",
     envvar="WASABIVALVE_ENTRY",
     metavar="URL",
+    callback=_check_url,
     help="Base URL of an entry VM, to add the observed state [WASABIVALVE_ENTRY].",
 )
 keys_option = click.option(
--- a/src/wasabivalve/cli/tests/test_operator_commands.py
+++ b/src/wasabivalve/cli/tests/test_operator_commands.py
@@ -27,6 +27,7 @@
 
     def __init__(self):
         self.stream_by_name, self.next_append, self.down = {}, None, False
+        self.oldest = 0
 
     def append(self, stream, records):
         if self.down:
@@ -39,6 +40,8 @@
     def read(self, stream, offset, wait_ms=0.0, limit=1000):
         if self.down:
             return platform_log.LogUnavailable("refused")
+        if offset < self.oldest:
+            return platform_log.Gap(self.oldest)
         rows = enumerate(self.stream_by_name.get(stream, [])[offset:], start=offset)
         found = tuple(platform_log.LoggedRecord(*row) for row in rows)
         return platform_log.ReadBatch(found, offset + len(found), 0)
@@ -171,6 +174,25 @@
     assert "accepted at revision 1" in shown
 
 
+def test_republish_outlives_the_retention_of_the_log(bench):
+    """Without a snapshot a VM that starts later could not take traffic."""
+    bench.apply(rank(), SERVICE_DOCUMENT)
+    shown = bench.run("republish", *bench.sign)
+    assert "2 resources of revision 2 republished at offsets 3 to 3" in shown
+    bench.log.oldest = 3
+    assert "urgent  2 " in bench.run("get", "traffic_rank", *URL)
+    assert "accepted at revision 4" in bench.apply(rank(floor=0.2, revision=2))
+    shown = bench.run("history", "traffic_rank", "urgent", *URL)
+    assert "records before offset 3 were removed" in shown
+    bench.log.oldest = 5
+    bench.run("get", "traffic_rank", *URL, code=options.UNAVAILABLE)
+
+
+@pytest.mark.parametrize("url", ["entry-1", "ftp://127.0.0.1", "http://[bad"])
+def test_a_wrong_url_is_wrong_usage(bench, url):
+    bench.run("get", "service", "--log", url, code=options.USAGE)
+
+
 def test_drain_and_cancel(bench):
     bench.apply(SERVICE_DOCUMENT)
     shown = bench.run("drain", "--instance", "s/a", *bench.sign)
--- a/src/wasabivalve/resources/publishing.py
+++ b/src/wasabivalve/resources/publishing.py
@@ -9,7 +9,7 @@
 from wasabivalve import platform_log
 from wasabivalve.schema import records_generated
 
-from . import differences, planning, reading, replay, writes
+from . import differences, planning, reading, replay, snapshots, writes
 
 DEFAULT_DEADLINE_MS = 10_000.0
 
@@ -157,6 +157,41 @@
     return _read_back(client, sent, records, decided, resolution, current, keys, stream)
 
 
+def republish(
+    client: platform_log.LogAppender,
+    current: reading.Current,
+    author: Author,
+    *,
+    stream: str = reading.STREAM,
+    timing: Timing | None = None,
+) -> (
+    platform_log.AppendProved
+    | platform_log.AppendFailed
+    | platform_log.AppendUnresolved
+):
+    """Append a snapshot of a state that was just read, as one batch.
+
+    Repeating it is harmless, since a snapshot changes no state.
+    """
+    timing = timing or Timing()
+    chunks = snapshots.build(
+        current.state,
+        operator=author.operator,
+        key_hex=author.key_hex,
+        new_record_id=author.new_record_id,
+    )
+    return platform_log.append_certainly(
+        client,
+        stream,
+        [dict(chunk) for chunk in chunks],
+        read_from=current.state.next_offset,
+        deadline_ms=timing.deadline_ms,
+        clock=timing.clock,
+        sleep=timing.sleep,
+        generator=timing.generator,
+    )
+
+
 def _record(change: planning.Change, author: Author) -> records_generated.ResourceWrite:
     return writes.build(
         change.kind,
--- a/src/wasabivalve/resources/replay.py
+++ b/src/wasabivalve/resources/replay.py
@@ -65,11 +65,16 @@
     """Return the state after the record at an offset; keys are given in hex.
 
     A record that does not take effect is ignored with a reason and no exception.
+    Offsets must follow each other: a record beyond ``next_offset`` changes nothing.
     ``trust_unknown_operators`` is for operator commands, which may hold only the key
     of their own operator: they cannot check the signatures of the others.
     """
     if offset < state.next_offset:
         return Applied(state, False, f"offset {offset} was applied before")
+    if offset > state.next_offset:
+        # Going on without the missing records could put part of a configuration in
+        # force; the reader needs a snapshot.
+        return Applied(state, False, f"records from {state.next_offset} are missing")
     after = state._replace(next_offset=offset + 1)
     if not isinstance(record, Mapping) or record.get("kind") != "resource_write":
         return Applied(after, False, "record is not a resource write")
--- a/src/wasabivalve/resources/specs.py
+++ b/src/wasabivalve/resources/specs.py
@@ -1,6 +1,8 @@
 """Check the spec of a resource against the schema of its kind."""
 
 import functools
+import re
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 import jsonschema
@@ -23,12 +25,24 @@
     problem: str
 
 
+def _check_pattern(
+    validator: Any, pattern: str, value: Any, definition: Any
+) -> Iterator[jsonschema.ValidationError]:
+    # In JSON Schema "$" matches only the end; in Python it also matches before a
+    # final line feed, which would let two names differ by it.
+    if isinstance(value, str) and not re.search(pattern.replace("$", r"\Z"), value):
+        yield jsonschema.ValidationError(f"{value!r} does not match {pattern!r}")
+
+
+_Validator = jsonschema.validators.extend(
+    jsonschema.Draft202012Validator, {"pattern": _check_pattern}
+)
+
+
 @functools.cache
-def _validator(definition: str) -> jsonschema.Draft202012Validator:
+def _validator(definition: str) -> Any:
     root = schema.load_schema("resources")
-    return jsonschema.Draft202012Validator(
-        {"$ref": f"#/$defs/{definition}", "$defs": root["$defs"]}
-    )
+    return _Validator({"$ref": f"#/$defs/{definition}", "$defs": root["$defs"]})
 
 
 def check_definition(definition: str, value: Any) -> tuple[Problem, ...]:
--- a/src/wasabivalve/resources/tests/test_resource_reading.py
+++ b/src/wasabivalve/resources/tests/test_resource_reading.py
@@ -250,7 +250,7 @@
 @given(WRITES)
 def test_replay_keeps_its_rules_for_any_sequence(writes):
     """Readers that differ on one record would run different configurations."""
-    state, seen = resources.EMPTY, set()
+    state, seen = resources.EMPTY._replace(next_offset=1), set()
     for offset, (name, floor, expected, record_id) in enumerate(writes, start=1):
         spec = None if floor is None else RANK | {"floor": floor, "order": ord(name)}
         record = resources.writes.build(
--- a/src/wasabivalve/resources/tests/test_resource_replay.py
+++ b/src/wasabivalve/resources/tests/test_resource_replay.py
@@ -30,7 +30,7 @@
 
 
 def replayed(*records, start=1):
-    state, reasons = resources.EMPTY, []
+    state, reasons = resources.EMPTY._replace(next_offset=start), []
     for offset, record in enumerate(records, start=start):
         applied = resources.apply(state, offset, record, KEYS)
         state = applied.state
@@ -65,6 +65,7 @@
         (write("teapot", "urgent", RANK), "unknown kind"),
         (write("traffic_rank", "urgent", {"order": 0}), "'floor' is a required"),
         (write("traffic_rank", "Not A Name", RANK), "$.name"),
+        (write("traffic_rank", "urgent\n", RANK), "does not match"),
         (write("traffic_rank", "urgent", None), "does not exist"),
         (write("drain_order", "x", {"service": "s", "instance": "a"}), "'s' does not"),
         ({"kind": "resource_write"}, "does not fit its schema"),
@@ -105,6 +106,15 @@
     assert again.state == state
 
 
+def test_a_reader_that_missed_records_refuses_to_go_on():
+    """Part of a configuration would come into force, as a trial with a log showed."""
+    state, _ = replayed(write("traffic_rank", "urgent", RANK, record_id="1"))
+    later = write("traffic_rank", "urgent", None, 1, record_id="2")
+    applied = resources.apply(state, 3, later, KEYS)
+    assert applied == resources.Applied(state, False, "records from 2 are missing")
+    assert resources.apply(state, 2, later, KEYS).accepted
+
+
 def test_view_fills_in_defaults_and_reads_drains():
     state, reasons = replayed(
         write("service", "slotbook", SERVICE, record_id="1"),
--- a/src/wasabivalve/resources/tests/test_resource_validation.py
+++ b/src/wasabivalve/resources/tests/test_resource_validation.py
@@ -203,7 +203,7 @@
     """A file that passes here and is ignored by the VMs would mislead its operator."""
     order = {kind: index for index, kind in enumerate(resources.specs.KINDS)}
     key = "11" * 32
-    state, reasons = resources.EMPTY, []
+    state, reasons = resources.EMPTY._replace(next_offset=1), []
     for offset, value in enumerate(
         sorted(values, key=lambda value: order[value["kind"]]), start=1
     ):
