--- a/src/wasabivalve/entry/configuration.py
+++ b/src/wasabivalve/entry/configuration.py
@@ -77,6 +77,8 @@
         if state is not None and state.revision >= self._state.revision:
             self._state = state
             self._gap = None
+            # Writes that follow what the snapshot covers were read along with it.
+            self._apply(tuple(gap.records))
 
 
 class _Gap(NamedTuple):
