Add a queue that appends burn summaries to the log

Cause: an entry VM needs to keep its summaries over an outage of the log without counting them twice after a lost response.

Change: burn.SummaryQueue holds a bounded number of summaries until an append succeeded and appends the same records again after an unknown outcome; merge counts each id once.

--- a/src/wasabivalve/burn/tests/test_burn.py
+++ b/src/wasabivalve/burn/tests/test_burn.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wasabivalve import burn, outcomes
+from wasabivalve import burn, outcomes, platform_log
 from wasabivalve.burn import budget, merging
 
 INTERVAL = 300
@@ -193,3 +193,35 @@
     found = burn.report([summary("a", END - 300)], [OBJECTIVE], NOW, ["a"])
     document = json.loads(burn.render_json(found))
     assert document["objectives"][0]["windows"][0]["rate"] == pytest.approx(1.0)
+
+
+class ScriptedLog:
+    """Answer appends in turn; an unknown outcome still takes effect."""
+
+    def __init__(self, *outcomes):
+        self.outcomes, self.records = list(outcomes), []
+
+    def append(self, stream, records):
+        outcome = self.outcomes.pop(0) if self.outcomes else platform_log.Appended(0)
+        if not isinstance(outcome, platform_log.LogUnavailable):
+            self.records += records
+        return outcome
+
+
+def test_summaries_survive_an_outage_and_count_once_after_a_lost_response():
+    """A dropped summary would show as missing, a doubled one as more requests."""
+    down = platform_log.LogUnavailable("down")
+    log = ScriptedLog(down, platform_log.AppendUnknown("lost"))
+    queue = burn.SummaryQueue(kept=2)
+    queue.add(summary("a", END + n * INTERVAL) for n in range(3))
+    assert not queue.flush(log)
+    assert not queue.flush(log)
+    assert queue.flush(log)
+    assert len(queue) == 0
+    merged = burn.merge(log.records)
+    assert len(log.records) == 4
+    assert [start for _, _, start in merged.counts_by_cell] == [
+        END + INTERVAL,
+        END + 2 * INTERVAL,
+    ]
+    assert {counts.total for counts in merged.counts_by_cell.values()} == {100}
--- a/src/wasabivalve/cli/report_commands.py
+++ b/src/wasabivalve/cli/report_commands.py
@@ -9,8 +9,6 @@
 
 from . import options
 
-BURN_STREAM = "burn"
-
 
 def add_to(group: click.Group) -> None:
     """Add the commands to a group."""
@@ -38,7 +36,7 @@
     metavar="VM",
     help="VM expected to report; repeatable.",
 )
-@click.option("--stream", default=BURN_STREAM, show_default=True)
+@click.option("--stream", default=burn.STREAM, show_default=True)
 @click.option(
     "--output",
     type=click.Choice(["table", "json", "html"]),
