--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -28,6 +28,7 @@
     "(b) credits ahead": policies.credits_ahead,
     "(c) permits": policies.permits,
     "(c) permits, none ahead": lambda fleet, ranks: policies.permits(fleet, ranks, 0),
+    "(c) permits, two ahead": lambda fleet, ranks: policies.permits(fleet, ranks, 2),
 }
 
 
@@ -47,6 +48,9 @@
     parser.add_argument("--service-ms", type=float, default=10.0)
     # One-way latency within a data centre, an assumption.
     parser.add_argument("--within-ms", type=float, default=0.1)
+    parser.add_argument(
+        "--target-scale", type=float, default=1.0, help="factor of targets and waits"
+    )
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--policy", choices=list(ROUTE_BY_NAME))
     arguments = parser.parse_args()
@@ -95,12 +99,20 @@
         arguments.within_ms,
         checks_deadline=not name.startswith("round"),
     )
+    scale = arguments.target_scale
     ranks = tuple(
-        rank._replace(load=FLOOD_LOAD) if rank.name == flooded else rank
+        rank._replace(
+            load=FLOOD_LOAD if rank.name == flooded else rank.load,
+            target_ms=rank.target_ms * scale,
+        )
         for rank in RANKS
     )
+    policy_by_rank = {
+        rank: policy._replace(queue_age_ms=policy.queue_age_ms * scale)
+        for rank, policy in POLICY_BY_RANK.items()
+    }
     end_ms = simulation.WARM_UP_MS + arguments.seconds * 1_000.0
-    route = ROUTE_BY_NAME[name](fleet, POLICY_BY_RANK)
+    route = ROUTE_BY_NAME[name](fleet, policy_by_rank)
     fleet.offer_load(ranks, arguments.service_ms, end_ms, route)
     capacity_ms = len(fleet.place_by_instance) * slots * arguments.seconds * 1_000.0
     share = {rank.name: fleet.good_ms.get(rank.name, 0) / capacity_ms for rank in ranks}
--- a/benchmarks/holder_memory.py
+++ b/benchmarks/holder_memory.py
@@ -32,8 +32,8 @@
         2,
     )
     table = deduplication.HolderTable("entry-1")
-    for now in range(0, 4_000, 500):
-        table.note_view(view, WALL_MS + now, float(now))
+    for tick in range(0, 4_000, 500):
+        table.note_view(view, WALL_MS + tick, float(tick))
     tracemalloc.start()
     keys = []
     for number in range(count):
