Test that a refused request no longer counts against the byte bound

Cause: a trial mutation that never returned the bytes of a request passed. Change: the test of bounds offers a large request after the first was refused.

--- a/src/wasabivalve/admission/tests/test_admission.py
+++ b/src/wasabivalve/admission/tests/test_admission.py
@@ -82,6 +82,8 @@
     slots.offer(ask("d", "low"), 1.0)
     assert refused(slots.offer(ask("e", "low"), 1.0)) == {"e": "queue_requests"}
     assert refused(slots.expire(300.0)) == {"b": "queue_age"}
+    # The refused request no longer counts against the bounds.
+    assert slots.offer(ask("g", "low", body_bytes=900), 300.0) == ()
     assert refused(slots.offer(ask("f", "none"), 300.0)) == {"f": "unknown_rank"}
 
 
