Sum slot time without a search

Cause: the queue summed all uses of a window for each grant.

Change: SlotUse keeps ended uses in a heap by start with their sum, and moves the start of the period forward only.

--- a/src/wasabivalve/admission/slot_use.py
+++ b/src/wasabivalve/admission/slot_use.py
@@ -1,6 +1,7 @@
 """Account slot time by rank over a sliding window."""
 
-import collections
+import heapq
+import math
 
 WINDOW_MS = 1_000.0
 """Length of the sliding window over which floors are counted."""
@@ -14,7 +15,12 @@
 
     def __init__(self) -> None:
         self.backlogged_since: float | None = None
-        self._ended: collections.deque[tuple[float, float]] = collections.deque()
+        # Ended uses by start, all of them at or after the start of the period.
+        self._ended: list[tuple[float, float]] = []
+        self._ended_ms = 0.0
+        # Ends of uses that began before the period and ended in it.
+        self._straddling: list[float] = []
+        self._period_start = -math.inf
         self._started_by_permit: dict[str, float] = {}
         self._duration_ms = 0.0
         self._measured_at: float | None = None
@@ -26,9 +32,9 @@
     def end(self, permit_id: str, now: float, *, measured: bool) -> None:
         """Count a slot as free, and use its duration as a measurement."""
         started = self._started_by_permit.pop(permit_id)
-        self._ended.append((started, now))
-        while self._ended and self._ended[0][1] <= now - WINDOW_MS:
-            self._ended.popleft()
+        heapq.heappush(self._ended, (started, now))
+        self._ended_ms += now - started
+        self._advance(now - WINDOW_MS)
         if measured:
             self._measure(now - started, now)
 
@@ -43,14 +49,13 @@
         return self._duration_ms
 
     def used_ms(self, since: float, now: float) -> float:
-        """Return the slot time used since a time.
+        """Return the slot time used since a time, which must never go back.
 
         A permit in use counts with its expected duration at least, so that
         two slots that become free together do not both go to the same rank.
         """
-        ended = sum(
-            end - max(start, since) for start, end in self._ended if end > since
-        )
+        self._advance(since)
+        ended = self._ended_ms + sum(end - since for end in self._straddling)
         expected = self.expected_ms(now)
         running = sum(
             max(now - max(start, since), expected)
@@ -75,6 +80,18 @@
         missing = floor_slots * (now - since) - self.used_ms(since, now)
         return missing if missing > 0.0 else None
 
+    def _advance(self, start: float) -> None:
+        """Move the start of the period, so that its sum needs no search."""
+        self._period_start = max(self._period_start, start)
+        while self._ended and self._ended[0][0] < self._period_start:
+            started, ended = heapq.heappop(self._ended)
+            self._ended_ms -= ended - started
+            self._straddling.append(ended)
+        self._straddling = [end for end in self._straddling if end > self._period_start]
+        if not self._ended:
+            # Ends the accumulated rounding error.
+            self._ended_ms = 0.0
+
     def _measure(self, duration_ms: float, now: float) -> None:
         if self._measured_at is None or now - self._measured_at > WINDOW_MS:
             self._duration_ms = duration_ms
