--- a/src/wasabivalve/deduplication/holders.py
+++ b/src/wasabivalve/deduplication/holders.py
@@ -8,8 +8,11 @@
 HOLDERS = 3
 """Copies of a record; a majority of them decides, so one may be lost."""
 
-VIEW_AGE_MS = 3_000.0
-"""A key's holders are chosen by the view this long before it was first sent."""
+VIEW_AGE_MS = 5_000.0
+"""A key's holders are chosen by the view this long before it was first sent.
+
+Keys may be 2 s in the future; each VM must have seen the view that is 3 s older.
+"""
 
 VIEW_ERROR_MS = 3_000.0
 """VMs see a change up to 2 s apart and their clocks differ by up to 1 s."""
