Restart admission after an abandoned move and follow later tables

A range stayed drained when its move was abandoned, and a controller went on at a lower position than one whose table the routers had, since givers forget positions when they start again. Change: replies show which ranges are draining, and the owner gets a second grant; a controller that sees a later table stops and takes a later position; no table is published before a server has answered.

--- a/src/wasabivalve/ownership/controller.py
+++ b/src/wasabivalve/ownership/controller.py
@@ -92,6 +92,8 @@
             case decisions.ServersChanged(servers, leaving):
                 self._services = assignments.Services(servers, frozenset(leaving))
                 self._take_lists(now)
+            case decisions.TableSeen(generation):
+                self._on_later_token(generation)
             case decisions.VmsChanged(vms):
                 self._vms = vms
             case decisions.MovesRequested(moves):
@@ -126,10 +128,15 @@
         server, command, reply = event
         if self.tenure.on_reply(server, command, reply, now) or reply is None:
             return
-        highest = reply.highest_token
+        self._on_later_token(reply.highest_token)
+
+    def _on_later_token(self, seen: tokens.Token) -> None:
+        """Stop if a later controller acted; its promises may be forgotten."""
         own = self.authority.position
-        if highest[:2] > (self.authority.state.term, -1 if own is None else own):
-            self.authority.on_superseded(highest.term, highest.position)
+        if self.tenure is None or own is None:
+            return
+        if seen[:2] > (self.authority.state.term, own):
+            self.authority.on_superseded(seen.term, seen.position)
 
     def _on_moves(self, moves: tuple[decisions.Move, ...], now: float) -> None:
         if self.tenure is not None:
@@ -221,6 +228,7 @@
         held.tokens_changed = False
         self._unowned = unowned
         early = now < held.started_at + FIRST_TABLE_AFTER_MS
+        early = early or not held.has_answers()
         if not self._table_is_stale or (early and unowned):
             return
         self._table_is_stale = False
--- a/src/wasabivalve/ownership/decisions.py
+++ b/src/wasabivalve/ownership/decisions.py
@@ -4,6 +4,7 @@
 
 from ..schema import messages_generated
 from . import replay, server_lease
+from . import token as tokens
 
 
 class Tick(NamedTuple):
@@ -58,6 +59,12 @@
     moves: tuple[Move, ...]
 
 
+class TableSeen(NamedTuple):
+    """Report the generation of an owner table that this VM received."""
+
+    generation: tokens.Token
+
+
 Event = (
     Tick
     | PromiseReplied
@@ -66,6 +73,7 @@
     | ServersChanged
     | VmsChanged
     | MovesRequested
+    | TableSeen
 )
 
 
--- a/src/wasabivalve/ownership/server_lease.py
+++ b/src/wasabivalve/ownership/server_lease.py
@@ -15,12 +15,16 @@
 
 
 class HeldRange(NamedTuple):
-    """Name positions [start, end), the hot key if single, and the grant's token."""
+    """Name positions [start, end), the hot key if single, and the grant's token.
+
+    A reply shows as ``draining`` what the server holds but admits no requests for.
+    """
 
     start: int
     end: int
     key: str = ""
     token: tokens.Token = tokens.NO_TOKEN
+    draining: bool = False
 
 
 class OwnershipCommand(NamedTuple):
@@ -46,16 +50,19 @@
 class _Piece:
     held: HeldRange
     ends_at: float
-    draining: bool = False
 
     def part(self, start: int, end: int) -> "_Piece":
         """Return the part of this piece within [start, end)."""
         low = max(start, self.held.start)
         high = min(end, self.held.end)
         key = self.held.key if high - low == 1 else ""
-        held = HeldRange(low, high, key, self.held.token)
+        held = self.held._replace(start=low, end=high, key=key)
         return dataclasses.replace(self, held=held)
 
+    def with_draining(self, draining: bool) -> "_Piece":
+        """Return this piece, admitting requests or not."""
+        return dataclasses.replace(self, held=self.held._replace(draining=draining))
+
     def overlaps(self, start: int, end: int) -> bool:
         """Return whether a position of [start, end) is held."""
         return self.held.start < end and start < self.held.end
@@ -91,7 +98,7 @@
     ) -> str | None:
         """Return why a request must not start now, or None."""
         piece = self._piece_at(key_ranges.position_of_key(key), now)
-        if piece is not None and piece.draining:
+        if piece is not None and piece.held.draining:
             return "range is draining"
         return self._refusal(piece, request_token)
 
@@ -133,9 +140,7 @@
         if command.action == "drain":
             self._pieces = _split(self._pieces, command.ranges)
             self._pieces = [
-                dataclasses.replace(piece, draining=True)
-                if _covered(piece, command.ranges)
-                else piece
+                piece.with_draining(True) if _covered(piece, command.ranges) else piece
                 for piece in self._pieces
             ]
         if command.action == "revoke":
@@ -168,7 +173,7 @@
             fresh = _gaps(self._pieces, wanted, command.token)
             self._pieces = [
                 dataclasses.replace(
-                    piece, draining=False, ends_at=max(piece.ends_at, ends_at)
+                    piece.with_draining(False), ends_at=max(piece.ends_at, ends_at)
                 )
                 if _covered(piece, (wanted,))
                 else piece
@@ -271,5 +276,6 @@
         and left.held.token == right.held.token
         and not left.held.key
         and not right.held.key
-        and (left.ends_at, left.draining) == (right.ends_at, right.draining)
+        and left.held.draining == right.held.draining
+        and left.ends_at == right.ends_at
     )
--- a/src/wasabivalve/ownership/tenure.py
+++ b/src/wasabivalve/ownership/tenure.py
@@ -48,7 +48,7 @@
         self.newly_suspected: list[str] = []
         self._exposed_until = exposed_until
         self._last_owner_by_span: dict[Span, str] = {}
-        self._pieces_by_span: dict[Span, list[server_lease.HeldRange]] = {}
+        self._grants_by_span: dict[Span, list[tuple[int, int, tokens.Token]]] = {}
         self._unsettled: set[Span] = set()
         self._done_by_span: dict[Span, set[tuple[str, str]]] = {}
         self._restore: set[tuple[str, Span]] = set()
@@ -133,6 +133,10 @@
         view = self.view_by_server.get(server)
         return view is not None and view.may_hold(*span, now)
 
+    def has_answers(self) -> bool:
+        """Return whether any server has answered."""
+        return any(view.fenced for view in self.view_by_server.values())
+
     def usable_servers(self, now: float) -> list[str]:
         """Return the servers that answer and are not leaving."""
         return [
@@ -269,20 +273,21 @@
         self.owner_by_span[span] = owner
         before = self._last_owner_by_span.get(span, "")
         self._last_owner_by_span[span] = owner
-        # An earlier controller or this one may have drained it for a move that
-        # did not happen; a second grant admits work again.
-        drained = ("drain", owner) in self._done_by_span.pop(span, set())
-        if drained or (not before and owner != unit.servers[0]):
-            self._restore.add((owner, span))
+        self._done_by_span.pop(span, None)
         if before != owner:
             self.changes.append(OwnerChange(unit, before, owner))
-        self._note_pieces(owner, span)
+        self._note_grants(owner, span)
 
-    def _note_pieces(self, owner: str, span: Span) -> None:
+    def _note_grants(self, owner: str, span: Span) -> None:
         """Notice new tokens, which routers need, also if the owner is the same."""
         pieces = self.view_by_server[owner].pieces(*span)
-        if self._pieces_by_span.get(span) != pieces:
-            self._pieces_by_span[span] = pieces
+        if any(piece.draining for piece in pieces):
+            # A move of this controller or an earlier one was abandoned; a second
+            # grant admits requests again.
+            self._restore.add((owner, span))
+        grants = [(piece.start, piece.end, piece.token) for piece in pieces]
+        if self._grants_by_span.get(span) != grants:
+            self._grants_by_span[span] = grants
             self.tokens_changed = True
 
     def _unsettle(self, span: Span) -> None:
@@ -295,7 +300,7 @@
         by_span: tuple[dict[Span, Any], ...] = (
             self.owner_by_span,
             self._last_owner_by_span,
-            self._pieces_by_span,
+            self._grants_by_span,
             self.target_by_span,
             self._done_by_span,
         )
@@ -309,7 +314,7 @@
             if owner != server:
                 continue
             if view.holds(*span):
-                self._note_pieces(server, span)
+                self._note_grants(server, span)
             else:
                 self._unsettle(span)
 
--- a/src/wasabivalve/ownership/tests/ownership_world.py
+++ b/src/wasabivalve/ownership/tests/ownership_world.py
@@ -17,6 +17,7 @@
     replay,
     server_lease,
 )
+from wasabivalve.ownership import token as tokens
 
 SHARD = "slotbook/0"
 LOG = "log"
@@ -222,10 +223,13 @@
 
     def publish(self, vm, table):
         known = self.table_by_vm.get(vm)
-        order = ("term", "position", "step")
-        rank = [table["generation"][part] for part in order]
-        if known is None or rank > [known["generation"][part] for part in order]:
+        rank = as_token(table["generation"])
+        if known is None or rank > as_token(known["generation"]):
             self.table_by_vm[vm] = table
+            generation = as_token(table["generation"])
+            event = decisions.TableSeen(generation)
+            handle = functools.partial(self.handle, vm, event)
+            self.at(0.0, handle, self.process_by_name[vm])
 
     # The log.
 
@@ -340,10 +344,8 @@
         ]
     if not found or not found[0]["server"]:
         return None
-    token = found[0]["token"]
-    parts = (token["term"], token["position"], token["step"])
-    return found[0]["server"], replay_token(parts)
+    return found[0]["server"], as_token(found[0]["token"])
 
 
-def replay_token(parts):
-    return server_lease.tokens.Token(*parts)
+def as_token(message):
+    return tokens.Token(message["term"], message["position"], message["step"])
