--- a/src/wasabivalve/ownership/tests/test_ownership_schedules.py
+++ b/src/wasabivalve/ownership/tests/test_ownership_schedules.py
@@ -82,6 +82,21 @@
     assert_red((ownership_schedules.wedge,), (900.0, 1800.0), **options)
 
 
+class ReadyAtOnce(promises.PromiseGiver):
+    """Give promises at once after a start, having forgotten earlier ones."""
+
+    def __init__(self, vm, now):
+        super().__init__(vm, now - promises.GIVEN_MS)
+        self._last_tick = now
+        self._log_read = True
+
+
+def test_check_fails_when_givers_start_without_a_wait():
+    """A VM that starts again would promise what it promised to another VM."""
+    faults = (ownership_schedules.wedge, ownership_schedules.kill_vm)
+    assert_red(faults, (100.0, 300.0, 900.0), make_giver=ReadyAtOnce)
+
+
 def test_simulated_clocks_stay_within_the_margin():
     """Clocks that differ by more than assumed would make a failure meaningless."""
     for seed in range(20):
