--- /dev/null
+++ b/src/wasabivalve/ownership/tests/test_tenure.py
@@ -0,0 +1,249 @@
+"""Guard when a controller grants, withdraws and publishes ranges."""
+
+import itertools
+import random
+
+import pytest
+
+from wasabivalve.ownership import (
+    assignments,
+    controller,
+    decisions,
+    key_ranges,
+    owner_tables,
+    promises,
+    range_lists,
+    replay,
+    server_lease,
+    tenure,
+)
+from wasabivalve.ownership import token as tokens
+
+SHARD = "slotbook/0"
+END = key_ranges.POSITIONS
+HALF = END // 2
+BOUND = 735.0
+
+
+class Bench:
+    """Drive one tenure against servers whose clocks agree with the controller's."""
+
+    def __init__(self, checks_fencing=True, former=(), lists=("s1", "s2")):
+        self.now = 0.0
+        self.lease_by_server = {
+            name: server_lease.ServerLease(checks_fencing)
+            for name in ("s1", "s2", "s3")
+        }
+        self.cut_off = set()
+        self.sent = []
+        self.may_grant = True
+        steps = itertools.count(1)
+        self.next_token = lambda: tokens.Token(5, 0, next(steps))
+        self.shard = replay.Shard(
+            term=5,
+            revision=1,
+            ranges=(
+                range_lists.ListedRange(0, HALF, lists),
+                range_lists.ListedRange(HALF, END, ("s2", "s3")),
+            ),
+            former_servers=former,
+        )
+        self.held = tenure.Tenure(SHARD, checks_fencing, 0.0, BOUND)
+        self.held.take_lists(self.shard, (), (), 0.0)
+
+    def run_until(self, end):
+        while self.now < end:
+            self.now += 10.0
+            for server, command in self.held.commands(
+                self.now, self.may_grant, self.next_token
+            ):
+                self.sent.append((self.now, server, command))
+                if server not in self.cut_off:
+                    reply = self.lease_by_server[server].handle(command, self.now)
+                    self.held.on_reply(server, command, reply, self.now)
+
+    def actions(self, server, *wanted):
+        return [
+            (at, command.action)
+            for at, name, command in self.sent
+            if name == server and command.action in wanted
+        ]
+
+    def owner(self, start=0, end=HALF):
+        return self.held.owner_by_span.get((start, end))
+
+
+@pytest.mark.parametrize("cut_off", ["s1", "former", "s3"])
+def test_silent_server_delays_grants_until_its_lease_has_ended(cut_off):
+    """Any server that was ever listed may hold a range that nobody reports."""
+    bench = Bench(former=("former",))
+    bench.lease_by_server["former"] = server_lease.ServerLease(True)
+    bench.cut_off = {cut_off}
+    bench.run_until(BOUND - 10.0)
+    assert not any(command.action == "grant" for _, _, command in bench.sent)
+    bench.run_until(BOUND + 60.0)
+    assert bench.owner() == ("s2" if cut_off == "s1" else "s1")
+
+
+def test_reported_range_stays_although_another_server_is_silent():
+    """A new controller must not make keys unavailable that have an owner."""
+    bench = Bench()
+    lease = bench.lease_by_server["s1"]
+    lease.handle(server_lease.OwnershipCommand("fence", SHARD, (1, 0, 0), 0.0), 0.0)
+    whole = (server_lease.HeldRange(0, END),)
+    grant = server_lease.OwnershipCommand("grant", SHARD, (1, 0, 1), 0.0, whole)
+    assert lease.handle(grant, 1.0).accepted
+    bench.cut_off = {"s3"}
+    bench.run_until(40.0)
+    assert bench.owner() == "s1"
+    assert not bench.actions("s1", "grant")
+
+
+def test_lost_server_is_replaced_after_the_bound_of_its_last_stamp():
+    """Suspicion must not shorten the wait for the lease."""
+    bench = Bench()
+    bench.run_until(1000.0)
+    bench.cut_off = {"s1"}
+    bench.run_until(1400.0)
+    assert bench.held.view_by_server["s1"].is_suspected(bench.now)
+    bench.run_until(2200.0)
+    stamps = [command.stamp for at, name, command in bench.sent if name == "s1"]
+    granted = [at for at, action in bench.actions("s2", "grant") if at > 1000.0]
+    assert granted[0] >= max(stamps) + BOUND
+    assert granted[0] <= 1000.0 + BOUND + 20.0
+    assert bench.owner() == "s2"
+
+
+def test_planned_move_prepares_drains_revokes_and_grants():
+    """Another order would cut off requests or create a second owner."""
+    bench = Bench()
+    bench.run_until(900.0)
+    ranges = (range_lists.ListedRange(0, HALF, ("s3", "s1")), bench.shard.ranges[1])
+    bench.held.take_lists(bench.shard._replace(ranges=ranges), (), (), 900.0)
+    bench.held.move({(0, HALF): "s3"})
+    key = next(f"k{n}" for n in range(99) if key_ranges.position_of_key(f"k{n}") < HALF)
+    bench.lease_by_server["s1"].started(key)
+    bench.run_until(1000.0)
+    assert bench.owner() is None
+    assert not bench.actions("s3", "grant")
+    bench.lease_by_server["s1"].finished(key)
+    bench.run_until(1100.0)
+    assert bench.owner() == "s3"
+    moved = [
+        command.action
+        for at, _, command in bench.sent
+        if at > 900.0 and command.action not in ("renew", "fence")
+    ]
+    assert list(dict.fromkeys(moved)) == ["prepare", "drain", "revoke", "grant"]
+
+
+def test_controller_that_is_behind_grants_nothing():
+    """A later assignment may have given the range to a server it does not know."""
+    bench = Bench()
+    bench.may_grant = False
+    bench.run_until(2000.0)
+    assert not any(command.action == "grant" for _, _, command in bench.sent)
+
+
+def test_empty_inventory_without_token_check_proves_nothing_at_first():
+    """A grant of an earlier controller may still arrive at such a server."""
+    bench = Bench(checks_fencing=False)
+    bench.run_until(BOUND - 10.0)
+    assert not any(command.action == "grant" for _, _, command in bench.sent)
+    bench.run_until(BOUND + 30.0)
+    assert bench.owner() == "s1"
+
+
+def test_unanswered_grant_without_token_check_counts_until_it_expires():
+    """It may take effect after a later revocation was acknowledged."""
+    bench = Bench(checks_fencing=False)
+    bench.run_until(700.0)
+    while not bench.actions("s1", "grant"):
+        bench.run_until(bench.now + 10.0)
+        bench.cut_off = {"s1"} if bench.now >= BOUND - 10.0 else set()
+    granted_at = bench.actions("s1", "grant")[0][0]
+    bench.cut_off = set()
+    bench.run_until(granted_at + 250.0)
+    view = bench.held.view_by_server["s1"]
+    assert view.is_usable(bench.now)
+    revoke = server_lease.OwnershipCommand(
+        "revoke", SHARD, (9, 0, 0), 0.0, (server_lease.HeldRange(0, END),)
+    )
+    bench.lease_by_server["s1"].handle(revoke, bench.now)
+    view.held = ()
+    assert view.may_hold(0, HALF, bench.now)
+
+
+def test_table_names_the_token_of_each_grant():
+    """A server refuses a request whose token is not that of the grant."""
+    bench = Bench()
+    bench.run_until(900.0)
+    table = owner_tables.build(bench.held, tokens.Token(5, 0, 99), bench.now)
+    assert [item["server"] for item in table["ranges"]] == ["s1", "s2"]
+    assert [item["end"] for item in table["ranges"]] == [HALF, END]
+    for key in ("lodge-1", "lodge-2", "lodge-3"):
+        position = key_ranges.position_of_key(key)
+        owner = table["ranges"][position >= HALF]
+        token = tokens.Token(**owner["token"])
+        lease = bench.lease_by_server[owner["server"]]
+        assert lease.may_start(key, token, bench.now) is None
+
+
+def test_upkeep_fills_lists_only_where_something_changed():
+    """Rewriting other lists would move keys without need."""
+    bench = Bench(lists=("s1", "gone"))
+    bench.cut_off = {"gone"}
+    bench.run_until(900.0)
+    services = assignments.Services(("s1", "s2", "s3"))
+    changes = assignments.draft(bench.held, services, (), bench.now)
+    assert [item["start"] for item in changes.ranges] == [0, HALF]
+    assert changes.ranges[0]["servers"][0] == "s1"
+    assert "gone" not in changes.ranges[0]["servers"]
+    assert changes.ranges[1]["servers"][:2] == ["s2", "s3"]
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_group_reset_prolongs_the_wait_for_silent_servers(checks_fencing):
+    """A controller of the old group may act until its log silence limit."""
+    giver = promises.PromiseGiver("a", 0.0)
+    held = controller.ShardController(
+        "a", SHARD, checks_fencing, giver, random.Random(1), log_silence_limit_ms=5000.0
+    )
+    shard = replay.Shard(
+        group_revision=2,
+        group=("a",),
+        reset_offset=0,
+        term=1,
+        controllers=("a",),
+        revision=1,
+        ranges=(range_lists.ListedRange(0, END, ("s1", "s2")),),
+    )
+    lease = server_lease.ServerLease(checks_fencing)
+    granted_at = commanded_at = None
+    held.handle(decisions.LogRead(replay.ControlState(0)), 0.0)
+    state = replay.ControlState(2, {SHARD: shard})
+    pending = [decisions.LogRead(state)]
+    for now in map(float, range(0, 9000, 20)):
+        giver.tick(now)
+        giver.log_read(state)
+        pending.append(decisions.Tick())
+        if now % 1000 == 0:
+            pending.append(decisions.LogRead(state))
+        while pending:
+            for decision in held.handle(pending.pop(0), now):
+                if isinstance(decision, decisions.SendPromiseRequest):
+                    reply = giver.on_request(decision.request, now)
+                    pending.append(decisions.PromiseReplied(reply))
+                if isinstance(decision, decisions.SendOwnershipCommand):
+                    commanded_at = commanded_at or now
+                    if decision.command.action == "grant":
+                        granted_at = granted_at or now
+                    if decision.server == "s2":
+                        answer = lease.handle(decision.command, now)
+                        event = decisions.OwnershipReplied(
+                            "s2", decision.command, answer
+                        )
+                        pending.append(event)
+    assert granted_at is not None and granted_at >= 5000.0 * 1.05 + BOUND
+    assert commanded_at is not None
+    assert (commanded_at >= 5000.0 * 1.05) != checks_fencing
