Check the group and the term every 200 ms

Cause: a fifth of the holder's CPU went into group checks after each event. Change: the check runs every 200 ms and after each record that was read back.

--- a/src/wasabivalve/ownership/controller.py
+++ b/src/wasabivalve/ownership/controller.py
@@ -33,6 +33,7 @@
 # Comparing all lists costs CPU; most changes also start it at once.
 UPKEEP_INTERVAL_MS = 500.0
 IDLE_INTERVAL_MS = 5000.0
+GROUP_CHECK_MS = 200.0
 SNAPSHOT_EVERY_RECORDS = 2000
 
 
@@ -77,6 +78,7 @@
         self._reset_seen_at: float | None = None
         self._claimed_at = float("-inf")
         self._upkeep_at = 0.0
+        self._group_check_at = float("-inf")
         self._table_is_stale = False
         self._unowned: frozenset[tenure.Span] = frozenset()
 
@@ -295,6 +297,9 @@
 
     def _group_record(self, now: float) -> Any:
         """Return a group change or a new term, if one is due."""
+        if now < self._group_check_at:
+            return None
+        self._group_check_at = now + GROUP_CHECK_MS
         state = self._state.shard(self.shard)
         if not self._vms or not self.authority.endorsements(now):
             return None
@@ -370,6 +375,7 @@
             "snapshot": record.get("covers_offset", 0) > self._state.snapshot_offset,
         }
         if seen or not fresh[record["kind"]]:
+            self._group_check_at = float("-inf")
             targets = self._pending_targets
             self._drop_pending()
             if self.tenure is not None and targets:
