End the wait of a group reset by a new term

Cause: every controller that starts after a reset would wait for the log silence limit before it replaces a silent server, however old the reset is. Change: the holder claims a term once it has waited, which clears the reset; a claimed term is logged as event 304.

--- a/src/wasabivalve/ownership/controller.py
+++ b/src/wasabivalve/ownership/controller.py
@@ -93,7 +93,7 @@
             case decisions.OwnershipReplied():
                 self._on_ownership_reply(event, now)
             case decisions.LogRead(state):
-                self._on_log_read(state, now)
+                result += self._on_log_read(state, now)
             case decisions.ServersChanged(servers, leaving):
                 self._services = assignments.Services(servers, frozenset(leaving))
                 self._take_lists(now)
@@ -111,7 +111,9 @@
         self._append(result, now)
         return tuple(result)
 
-    def _on_log_read(self, state: replay.ControlState, now: float) -> None:
+    def _on_log_read(
+        self, state: replay.ControlState, now: float
+    ) -> list[decisions.Decision]:
         before = self._state.shard(self.shard)
         self._state = state
         self._log_was_read = self._log_was_read or state.complete
@@ -124,6 +126,10 @@
         if after.revision != before.revision:
             self._take_lists(now)
         self._resolve_pending(after)
+        if after.term == before.term or after.controllers[:1] != (self.vm,):
+            return []
+        fields = {"shard": self.shard, "vm": self.vm, "term": after.term}
+        return [decisions.EmitEvent(304, fields)]
 
     def _on_ownership_reply(
         self, event: decisions.OwnershipReplied, now: float
@@ -195,6 +201,9 @@
         limit = self.authority.log_silence_limit_ms
         return self._reset_seen_at + limit * promises.CLOCK_MARGIN
 
+    def _reset_is_over(self, now: float) -> bool:
+        return self._reset_seen_at is not None and now >= self._reset_ends_at()
+
     def _act(
         self, held: tenure.Tenure, result: list[decisions.Decision], now: float
     ) -> None:
@@ -310,6 +319,8 @@
         line = groups.successors(state, self.vm, self._vms)
         changed = set(line) != set(state.controllers)
         due = worn or changed or self.authority.successor_restarted
+        # A claim after the wait spares later controllers the same wait.
+        due = due or self._reset_is_over(now)
         if due and now - self._claimed_at >= RECLAIM_INTERVAL_MS:
             return self._claim(state, now)
         return None
@@ -329,7 +340,7 @@
             state,
             groups.successors(state, self.vm, self._vms),
             self.authority.endorsements(now),
-            self._reset_seen_at is not None and now >= self._reset_ends_at(),
+            self._reset_is_over(now),
         )
 
     def _assignment(self, held: tenure.Tenure, now: float) -> Any:
