Keep routing to the old owner while a range is cut for a move

Cause: in a planned move of one key the table showed no owner from the moment the list was read back until the grant. Change: the parts of a range inherit its last owner; a renewal that is not urgent waits for the commands of a move.

--- a/src/wasabivalve/ownership/server_view.py
+++ b/src/wasabivalve/ownership/server_view.py
@@ -122,6 +122,10 @@
         # server gets renewals that list what it should hold.
         return "renew" if self.checks_fencing or self.held else "fence"
 
+    def can_wait(self, now: float) -> bool:
+        """Return whether a renewal may be late by one interval."""
+        return now - self._renewed_at < 2 * RENEW_MS
+
     def can_grant(self, now: float) -> bool:
         """Return whether the latest stamp is young enough for a grant."""
         return now - self._stamp_at <= STAMP_LIMIT_MS
--- a/src/wasabivalve/ownership/tenure.py
+++ b/src/wasabivalve/ownership/tenure.py
@@ -1,10 +1,11 @@
 """Decide the commands to servers during one unbroken period of authority."""
 
+import bisect
 import collections
 from collections.abc import Callable, Container, Iterable
 from typing import Any, NamedTuple
 
-from . import range_lists, replay, server_lease, server_view
+from . import key_ranges, range_lists, replay, server_lease, server_view
 from . import token as tokens
 
 Span = tuple[int, int]
@@ -73,7 +74,9 @@
             if server not in listed and now >= view.exposed_until:
                 del self.view_by_server[server]
         units = range_lists.units_of(state.ranges, state.servers_by_key)
-        self.unit_by_span = {(unit.start, unit.end): unit for unit in units}
+        unit_by_span = {(unit.start, unit.end): unit for unit in units}
+        self._inherit_owners(unit_by_span)
+        self.unit_by_span = unit_by_span
         self._forget_missing_spans()
 
     def move(self, target_by_span: dict[Span, str]) -> None:
@@ -181,6 +184,10 @@
         next_token: Callable[[], tokens.Token],
     ) -> server_lease.OwnershipCommand | None:
         keepalive = view.next_keepalive(now)
+        # Keys are unavailable while a move is under way; a renewal is not urgent.
+        urgent = wanted["revoke"] or wanted["grant"]
+        if keepalive == "renew" and urgent and view.can_wait(now):
+            keepalive = None
         if keepalive is not None:
             return view.send(keepalive, self.shard, next_token(), (), now)
         if not view.is_usable(now):
@@ -295,6 +302,17 @@
         self._restore.discard((owner, span))
         self._unsettled.add(span)
 
+    def _inherit_owners(self, spans: Iterable[Span]) -> None:
+        """Keep the owner of a range as the last one of each part it is cut into."""
+        old = sorted(self._last_owner_by_span)
+        for span in spans:
+            index = bisect.bisect_right(old, (span[0], key_ranges.POSITIONS + 1)) - 1
+            if span in self._last_owner_by_span or index < 0:
+                continue
+            if old[index][1] >= span[1]:
+                owner = self._last_owner_by_span[old[index]]
+                self._last_owner_by_span[span] = owner
+
     def _forget_missing_spans(self) -> None:
         spans = self.unit_by_span
         by_span: tuple[dict[Span, Any], ...] = (
