--- a/src/wasabivalve/ownership/controller.py
+++ b/src/wasabivalve/ownership/controller.py
@@ -115,6 +115,7 @@
         self, state: replay.ControlState, now: float
     ) -> list[decisions.Decision]:
         before = self._state.shard(self.shard)
+        first_read = not self._log_was_read
         self._state = state
         self._log_was_read = self._log_was_read or state.complete
         self.authority.on_log_read(state, now)
@@ -126,7 +127,9 @@
         if after.revision != before.revision:
             self._take_lists(now)
         self._resolve_pending(after)
-        if after.term == before.term or after.controllers[:1] != (self.vm,):
+        if first_read or after.term == before.term:
+            return []
+        if after.controllers[:1] != (self.vm,):
             return []
         fields = {"shard": self.shard, "vm": self.vm, "term": after.term}
         return [decisions.EmitEvent(304, fields)]
--- a/src/wasabivalve/ownership/tests/test_tenure.py
+++ b/src/wasabivalve/ownership/tests/test_tenure.py
@@ -247,3 +247,38 @@
     assert granted_at is not None and granted_at >= 5000.0 * 1.05 + BOUND
     assert commanded_at is not None
     assert (commanded_at >= 5000.0 * 1.05) != checks_fencing
+
+
+def test_table_keeps_the_old_owner_while_a_key_is_cut_out():
+    """Routers would otherwise refuse the key from the log record to the grant."""
+    bench = Bench()
+    bench.run_until(900.0)
+    key = next(f"k{n}" for n in range(99) if key_ranges.position_of_key(f"k{n}") < HALF)
+    single = bench.shard._replace(servers_by_key={key: ("s3", "s1")})
+    bench.held.take_lists(single, (), (), 900.0)
+    at = key_ranges.position_of_key(key)
+    bench.held.move({(at, at + 1): "s3"})
+    table = owner_tables.build(bench.held, tokens.Token(5, 0, 99), bench.now)
+    assert [item["server"] for item in table["exceptions"]] == ["s1"]
+    bench.run_until(1000.0)
+    table = owner_tables.build(bench.held, tokens.Token(5, 0, 100), bench.now)
+    assert [item["server"] for item in table["exceptions"]] == ["s3"]
+
+
+def test_abandoned_move_admits_requests_again():
+    """A range that stays drained is unavailable although its lease is renewed."""
+    bench = Bench()
+    bench.run_until(900.0)
+    ranges = (range_lists.ListedRange(0, HALF, ("s3", "s1")), bench.shard.ranges[1])
+    bench.held.take_lists(bench.shard._replace(ranges=ranges), (), (), 900.0)
+    key = next(f"k{n}" for n in range(99) if key_ranges.position_of_key(f"k{n}") < HALF)
+    lease = bench.lease_by_server["s1"]
+    lease.started(key)
+    bench.held.move({(0, HALF): "s3"})
+    bench.run_until(1000.0)
+    token = lease.token_of(key, bench.now)
+    assert lease.may_start(key, token, bench.now) == "range is draining"
+    bench.cut_off = {"s3"}
+    bench.run_until(1600.0)
+    assert lease.may_start(key, token, bench.now) is None
+    assert bench.owner() == "s1"
