--- a/src/wasabivalve/ownership/controller.py
+++ b/src/wasabivalve/ownership/controller.py
@@ -4,6 +4,7 @@
 of the time it takes part in the succession and follows the log.
 """
 
+import collections
 import random
 import uuid
 from typing import Any
@@ -29,7 +30,10 @@
 # The VM list lags, and a reset costs more than waiting.
 RESET_AFTER_MS = 2000.0
 FIRST_TABLE_AFTER_MS = 100.0
+# Comparing all lists costs CPU; most changes also start it at once.
 UPKEEP_INTERVAL_MS = 500.0
+IDLE_INTERVAL_MS = 5000.0
+GROUP_CHECK_MS = 200.0
 SNAPSHOT_EVERY_RECORDS = 2000
 
 
@@ -74,6 +78,7 @@
         self._reset_seen_at: float | None = None
         self._claimed_at = float("-inf")
         self._upkeep_at = 0.0
+        self._group_check_at = float("-inf")
         self._table_is_stale = False
         self._unowned: frozenset[tenure.Span] = frozenset()
 
@@ -88,10 +93,12 @@
             case decisions.OwnershipReplied():
                 self._on_ownership_reply(event, now)
             case decisions.LogRead(state):
-                self._on_log_read(state, now)
+                result += self._on_log_read(state, now)
             case decisions.ServersChanged(servers, leaving):
                 self._services = assignments.Services(servers, frozenset(leaving))
                 self._take_lists(now)
+            case decisions.TableSeen(generation):
+                self._on_later_token(generation)
             case decisions.VmsChanged(vms):
                 self._vms = vms
             case decisions.MovesRequested(moves):
@@ -104,8 +111,11 @@
         self._append(result, now)
         return tuple(result)
 
-    def _on_log_read(self, state: replay.ControlState, now: float) -> None:
+    def _on_log_read(
+        self, state: replay.ControlState, now: float
+    ) -> list[decisions.Decision]:
         before = self._state.shard(self.shard)
+        first_read = not self._log_was_read
         self._state = state
         self._log_was_read = self._log_was_read or state.complete
         self.authority.on_log_read(state, now)
@@ -117,6 +127,12 @@
         if after.revision != before.revision:
             self._take_lists(now)
         self._resolve_pending(after)
+        if first_read or after.term == before.term:
+            return []
+        if after.controllers[:1] != (self.vm,):
+            return []
+        fields = {"shard": self.shard, "vm": self.vm, "term": after.term}
+        return [decisions.EmitEvent(304, fields)]
 
     def _on_ownership_reply(
         self, event: decisions.OwnershipReplied, now: float
@@ -126,10 +142,15 @@
         server, command, reply = event
         if self.tenure.on_reply(server, command, reply, now) or reply is None:
             return
-        highest = reply.highest_token
+        self._on_later_token(reply.highest_token)
+
+    def _on_later_token(self, seen: tokens.Token) -> None:
+        """Stop if a later controller acted; its promises may be forgotten."""
         own = self.authority.position
-        if highest[:2] > (self.authority.state.term, -1 if own is None else own):
-            self.authority.on_superseded(highest.term, highest.position)
+        if self.tenure is None or own is None:
+            return
+        if seen[:2] > (self.authority.state.term, own):
+            self.authority.on_superseded(seen.term, seen.position)
 
     def _on_moves(self, moves: tuple[decisions.Move, ...], now: float) -> None:
         if self.tenure is not None:
@@ -183,6 +204,9 @@
         limit = self.authority.log_silence_limit_ms
         return self._reset_seen_at + limit * promises.CLOCK_MARGIN
 
+    def _reset_is_over(self, now: float) -> bool:
+        return self._reset_seen_at is not None and now >= self._reset_ends_at()
+
     def _act(
         self, held: tenure.Tenure, result: list[decisions.Decision], now: float
     ) -> None:
@@ -194,22 +218,24 @@
         for server in held.newly_suspected:
             fields = {"shard": self.shard, "server": server}
             result.append(decisions.EmitEvent(303, fields))
-        result += [
-            decisions.EmitEvent(302, self._describe(change)) for change in held.changes
-        ]
+        result += self._describe(held.changes)
         if held.changes:
             self._upkeep_at = min(self._upkeep_at, now)
             held.changes.clear()
         self._publish(held, result, now)
 
-    def _describe(self, change: tenure.OwnerChange) -> dict[str, Any]:
-        return {
-            "shard": self.shard,
-            "start": change.unit.start,
-            "key": change.unit.key,
-            "before": change.before,
-            "after": change.after,
-        }
+    def _describe(self, changes: list[tenure.OwnerChange]) -> list[decisions.EmitEvent]:
+        """Return one log event for each pair of old and new owner."""
+        counts = collections.Counter(
+            (change.before, change.after) for change in changes
+        )
+        return [
+            decisions.EmitEvent(
+                302,
+                {"shard": self.shard, "before": old, "after": new, "ranges": count},
+            )
+            for (old, new), count in counts.items()
+        ]
 
     def _publish(
         self, held: tenure.Tenure, result: list[decisions.Decision], now: float
@@ -221,6 +247,7 @@
         held.tokens_changed = False
         self._unowned = unowned
         early = now < held.started_at + FIRST_TABLE_AFTER_MS
+        early = early or not held.has_answers()
         if not self._table_is_stale or (early and unowned):
             return
         self._table_is_stale = False
@@ -282,6 +309,9 @@
 
     def _group_record(self, now: float) -> Any:
         """Return a group change or a new term, if one is due."""
+        if now < self._group_check_at:
+            return None
+        self._group_check_at = now + GROUP_CHECK_MS
         state = self._state.shard(self.shard)
         if not self._vms or not self.authority.endorsements(now):
             return None
@@ -292,6 +322,8 @@
         line = groups.successors(state, self.vm, self._vms)
         changed = set(line) != set(state.controllers)
         due = worn or changed or self.authority.successor_restarted
+        # A claim after the wait spares later controllers the same wait.
+        due = due or self._reset_is_over(now)
         if due and now - self._claimed_at >= RECLAIM_INTERVAL_MS:
             return self._claim(state, now)
         return None
@@ -311,14 +343,15 @@
             state,
             groups.successors(state, self.vm, self._vms),
             self.authority.endorsements(now),
-            self._reset_seen_at is not None and now >= self._reset_ends_at(),
+            self._reset_is_over(now),
         )
 
     def _assignment(self, held: tenure.Tenure, now: float) -> Any:
         state = self._state.shard(self.shard)
         if now < self._upkeep_at:
             return None
-        self._upkeep_at = now + UPKEEP_INTERVAL_MS
+        settled = len(held.owner_by_span) == len(held.unit_by_span)
+        self._upkeep_at = now + (IDLE_INTERVAL_MS if settled else UPKEEP_INTERVAL_MS)
         if not state.ranges:
             servers = self._services.staying()
             if not servers:
@@ -356,6 +389,7 @@
             "snapshot": record.get("covers_offset", 0) > self._state.snapshot_offset,
         }
         if seen or not fresh[record["kind"]]:
+            self._group_check_at = float("-inf")
             targets = self._pending_targets
             self._drop_pending()
             if self.tenure is not None and targets:
--- a/src/wasabivalve/ownership/server_lease.py
+++ b/src/wasabivalve/ownership/server_lease.py
@@ -3,6 +3,7 @@
 A single hot key is the range of its one position, so all rules are about ranges.
 """
 
+import bisect
 import dataclasses
 from typing import Literal, NamedTuple
 
@@ -15,12 +16,16 @@
 
 
 class HeldRange(NamedTuple):
-    """Name positions [start, end), the hot key if single, and the grant's token."""
+    """Name positions [start, end), the hot key if single, and the grant's token.
+
+    A reply shows as ``draining`` what the server holds but admits no requests for.
+    """
 
     start: int
     end: int
     key: str = ""
     token: tokens.Token = tokens.NO_TOKEN
+    draining: bool = False
 
 
 class OwnershipCommand(NamedTuple):
@@ -46,16 +51,19 @@
 class _Piece:
     held: HeldRange
     ends_at: float
-    draining: bool = False
 
     def part(self, start: int, end: int) -> "_Piece":
         """Return the part of this piece within [start, end)."""
         low = max(start, self.held.start)
         high = min(end, self.held.end)
         key = self.held.key if high - low == 1 else ""
-        held = HeldRange(low, high, key, self.held.token)
+        held = self.held._replace(start=low, end=high, key=key)
         return dataclasses.replace(self, held=held)
 
+    def with_draining(self, draining: bool) -> "_Piece":
+        """Return this piece, admitting requests or not."""
+        return dataclasses.replace(self, held=self.held._replace(draining=draining))
+
     def overlaps(self, start: int, end: int) -> bool:
         """Return whether a position of [start, end) is held."""
         return self.held.start < end and start < self.held.end
@@ -72,6 +80,7 @@
         self.checks_fencing = checks_fencing
         self.lease_ms = lease_ms
         self.highest_token = tokens.NO_TOKEN
+        # Sorted by position.
         self._pieces: list[_Piece] = []
         # A stamp counts only if this process issued it: a delayed command for an
         # earlier start of the server carries the stamp of another clock.
@@ -91,7 +100,7 @@
     ) -> str | None:
         """Return why a request must not start now, or None."""
         piece = self._piece_at(key_ranges.position_of_key(key), now)
-        if piece is not None and piece.draining:
+        if piece is not None and piece.held.draining:
             return "range is draining"
         return self._refusal(piece, request_token)
 
@@ -133,9 +142,7 @@
         if command.action == "drain":
             self._pieces = _split(self._pieces, command.ranges)
             self._pieces = [
-                dataclasses.replace(piece, draining=True)
-                if _covered(piece, command.ranges)
-                else piece
+                piece.with_draining(True) if _covered(piece, command.ranges) else piece
                 for piece in self._pieces
             ]
         if command.action == "revoke":
@@ -168,7 +175,7 @@
             fresh = _gaps(self._pieces, wanted, command.token)
             self._pieces = [
                 dataclasses.replace(
-                    piece, draining=False, ends_at=max(piece.ends_at, ends_at)
+                    piece.with_draining(False), ends_at=max(piece.ends_at, ends_at)
                 )
                 if _covered(piece, (wanted,))
                 else piece
@@ -200,10 +207,13 @@
         self._issued = {at for at in self._issued if at + self.lease_ms > now}
 
     def _piece_at(self, position: int, now: float) -> _Piece | None:
-        for piece in self._pieces:
-            if piece.overlaps(position, position + 1) and piece.ends_at > now:
-                return piece
-        return None
+        index = bisect.bisect_right(
+            self._pieces, position, key=lambda piece: piece.held.start
+        )
+        piece = self._pieces[index - 1] if index else None
+        if piece is None or position >= piece.held.end or piece.ends_at <= now:
+            return None
+        return piece
 
     def _refusal(self, piece: _Piece | None, request_token: tokens.Token) -> str | None:
         if piece is None:
@@ -271,5 +281,6 @@
         and left.held.token == right.held.token
         and not left.held.key
         and not right.held.key
-        and (left.ends_at, left.draining) == (right.ends_at, right.draining)
+        and left.held.draining == right.held.draining
+        and left.ends_at == right.ends_at
     )
--- a/src/wasabivalve/ownership/tenure.py
+++ b/src/wasabivalve/ownership/tenure.py
@@ -1,10 +1,11 @@
 """Decide the commands to servers during one unbroken period of authority."""
 
+import bisect
 import collections
 from collections.abc import Callable, Container, Iterable
 from typing import Any, NamedTuple
 
-from . import range_lists, replay, server_lease, server_view
+from . import key_ranges, range_lists, replay, server_lease, server_view
 from . import token as tokens
 
 Span = tuple[int, int]
@@ -48,7 +49,7 @@
         self.newly_suspected: list[str] = []
         self._exposed_until = exposed_until
         self._last_owner_by_span: dict[Span, str] = {}
-        self._pieces_by_span: dict[Span, list[server_lease.HeldRange]] = {}
+        self._grants_by_span: dict[Span, list[tuple[int, int, tokens.Token]]] = {}
         self._unsettled: set[Span] = set()
         self._done_by_span: dict[Span, set[tuple[str, str]]] = {}
         self._restore: set[tuple[str, Span]] = set()
@@ -73,7 +74,9 @@
             if server not in listed and now >= view.exposed_until:
                 del self.view_by_server[server]
         units = range_lists.units_of(state.ranges, state.servers_by_key)
-        self.unit_by_span = {(unit.start, unit.end): unit for unit in units}
+        unit_by_span = {(unit.start, unit.end): unit for unit in units}
+        self._inherit_owners(unit_by_span)
+        self.unit_by_span = unit_by_span
         self._forget_missing_spans()
 
     def move(self, target_by_span: dict[Span, str]) -> None:
@@ -133,6 +136,10 @@
         view = self.view_by_server.get(server)
         return view is not None and view.may_hold(*span, now)
 
+    def has_answers(self) -> bool:
+        """Return whether any server has answered."""
+        return any(view.fenced for view in self.view_by_server.values())
+
     def usable_servers(self, now: float) -> list[str]:
         """Return the servers that answer and are not leaving."""
         return [
@@ -177,6 +184,10 @@
         next_token: Callable[[], tokens.Token],
     ) -> server_lease.OwnershipCommand | None:
         keepalive = view.next_keepalive(now)
+        # Keys are unavailable while a move is under way; a renewal is not urgent.
+        urgent = wanted["revoke"] or wanted["grant"]
+        if keepalive == "renew" and urgent and view.can_wait(now):
+            keepalive = None
         if keepalive is not None:
             return view.send(keepalive, self.shard, next_token(), (), now)
         if not view.is_usable(now):
@@ -269,20 +280,21 @@
         self.owner_by_span[span] = owner
         before = self._last_owner_by_span.get(span, "")
         self._last_owner_by_span[span] = owner
-        # An earlier controller or this one may have drained it for a move that
-        # did not happen; a second grant admits work again.
-        drained = ("drain", owner) in self._done_by_span.pop(span, set())
-        if drained or (not before and owner != unit.servers[0]):
-            self._restore.add((owner, span))
+        self._done_by_span.pop(span, None)
         if before != owner:
             self.changes.append(OwnerChange(unit, before, owner))
-        self._note_pieces(owner, span)
+        self._note_grants(owner, span)
 
-    def _note_pieces(self, owner: str, span: Span) -> None:
+    def _note_grants(self, owner: str, span: Span) -> None:
         """Notice new tokens, which routers need, also if the owner is the same."""
         pieces = self.view_by_server[owner].pieces(*span)
-        if self._pieces_by_span.get(span) != pieces:
-            self._pieces_by_span[span] = pieces
+        if any(piece.draining for piece in pieces):
+            # A move of this controller or an earlier one was abandoned; a second
+            # grant admits requests again.
+            self._restore.add((owner, span))
+        grants = [(piece.start, piece.end, piece.token) for piece in pieces]
+        if self._grants_by_span.get(span) != grants:
+            self._grants_by_span[span] = grants
             self.tokens_changed = True
 
     def _unsettle(self, span: Span) -> None:
@@ -290,12 +302,23 @@
         self._restore.discard((owner, span))
         self._unsettled.add(span)
 
+    def _inherit_owners(self, spans: Iterable[Span]) -> None:
+        """Keep the owner of a range as the last one of each part it is cut into."""
+        old = sorted(self._last_owner_by_span)
+        for span in spans:
+            index = bisect.bisect_right(old, (span[0], key_ranges.POSITIONS + 1)) - 1
+            if span in self._last_owner_by_span or index < 0:
+                continue
+            if old[index][1] >= span[1]:
+                owner = self._last_owner_by_span[old[index]]
+                self._last_owner_by_span[span] = owner
+
     def _forget_missing_spans(self) -> None:
         spans = self.unit_by_span
         by_span: tuple[dict[Span, Any], ...] = (
             self.owner_by_span,
             self._last_owner_by_span,
-            self._pieces_by_span,
+            self._grants_by_span,
             self.target_by_span,
             self._done_by_span,
         )
@@ -309,7 +332,7 @@
             if owner != server:
                 continue
             if view.holds(*span):
-                self._note_pieces(server, span)
+                self._note_grants(server, span)
             else:
                 self._unsettle(span)
 
