Order membership notices by version

Cause: after a cut healed, notices of opposite states chased each other without end; the new test of two regions ran for 592 s and failed. Change: a notice carries a version as the negative sequence of its probe_reply; only a higher version is accepted and passed on. A watcher that restarts counts versions from the ones it hears, so its first notices may be ignored; the other watchers send theirs.

--- a/src/wasabivalve/membership/__init__.py
+++ b/src/wasabivalve/membership/__init__.py
@@ -1,7 +1,6 @@
 """Suspicion of entry VMs that have failed."""
 
 from .core import (
-    NOTICE_SEQUENCE,
     Action,
     Change,
     MembershipView,
@@ -12,7 +11,6 @@
 from .overlay import watchers_by_name
 
 __all__ = [
-    "NOTICE_SEQUENCE",
     "Action",
     "Change",
     "MembershipView",
--- a/src/wasabivalve/membership/core.py
+++ b/src/wasabivalve/membership/core.py
@@ -7,10 +7,6 @@
 
 from . import overlay
 
-# A probe reply with this sequence answers no probe: it passes on a change that a
-# watcher of the VM has confirmed.
-NOTICE_SEQUENCE = 0
-
 
 class Timing(NamedTuple):
     """Set the timing of suspicion in milliseconds and its counts."""
@@ -45,11 +41,16 @@
 
 
 class Notice(NamedTuple):
-    """Pass a confirmed state of ``target`` on to ``to`` as an unasked probe reply."""
+    """Pass a confirmed state of ``target`` on to ``to`` as an unasked probe reply.
+
+    The sequence is negative: the version of the state with its sign changed. Without
+    an order, notices of opposite states would chase each other without end.
+    """
 
     to: str
     target: str
     alive: bool
+    sequence: int
 
 
 Action = Change | Probe | Notice
@@ -70,6 +71,7 @@
     heard_at: float = float("-inf")
     evidence_at: float = float("-inf")
     streak: int = 0
+    version: int = 0
     probe_sequence: int = -1
     probe_started_at: float = float("-inf")
     awaited: set[str] = dataclasses.field(default_factory=set)
@@ -105,7 +107,7 @@
             name: peer for name, peer in self._peer_by_name.items() if peer.watched
         }
         self._last_tick = now
-        self._sequence = NOTICE_SEQUENCE
+        self._sequence = 0
         self._actions: list[Action] = []
         self._leaving: frozenset[str] = frozenset()
         self._restart_silence(now)
@@ -171,8 +173,8 @@
         peer = self._peer_by_name.get(target)
         if peer is None or source not in self._peer_by_name:
             return
-        if sequence == NOTICE_SEQUENCE:
-            self._take_notice(target, peer, alive, now)
+        if sequence < 0:
+            self._take_notice(target, peer, alive, -sequence, now)
         elif sequence == peer.probe_sequence and source in peer.awaited:
             peer.awaited.discard(source)
             if alive:
@@ -253,26 +255,33 @@
         # A VM that hears few others has probably lost its own link; its suspicions
         # would be wrong on every other VM.
         if state is _State.LIVE or self._hears_most(now):
-            self._pass_on(name, state is _State.LIVE)
+            peer.version += 1
+            self._pass_on(name, state is _State.LIVE, peer.version)
 
-    def _take_notice(self, name: str, peer: _Peer, alive: bool, now: float) -> None:
+    def _take_notice(
+        self, name: str, peer: _Peer, alive: bool, version: int, now: float
+    ) -> None:
+        if version <= peer.version:
+            return
+        peer.version = version
+        state = _State.LIVE if alive else _State.SUSPECTED
         if peer.watched:
             heard = now - peer.heard_at <= self._timing.suspect_ms
             if not alive and heard and peer.state is _State.LIVE:
-                self._pass_on(name, True)
-            return
-        state = _State.LIVE if alive else _State.SUSPECTED
-        if peer.state is not state:
+                # This VM knows better; the higher version overtakes the notice.
+                peer.version += 1
+                alive = True
+        elif peer.state is not state:
             peer.state = state
             self._actions.append(Change(name, alive, "notice"))
-            self._pass_on(name, alive)
+        self._pass_on(name, alive, peer.version)
 
-    def _pass_on(self, target: str, alive: bool) -> None:
+    def _pass_on(self, target: str, alive: bool, version: int) -> None:
         if len(self._watched) == len(self._peer_by_name):
             return
         for to in self._neighbours:
             if to != target:
-                self._actions.append(Notice(to, target, alive))
+                self._actions.append(Notice(to, target, alive, -version))
 
     def _tell_suspects(self, to: str) -> None:
         # A VM that returns has missed the notices sent meanwhile.
@@ -280,7 +289,7 @@
             return
         for name, peer in self._peer_by_name.items():
             if peer.state is _State.SUSPECTED:
-                self._actions.append(Notice(to, name, False))
+                self._actions.append(Notice(to, name, False, -peer.version))
 
     def _hears_most(self, now: float) -> bool:
         heard = sum(
--- a/src/wasabivalve/membership/tests/test_membership.py
+++ b/src/wasabivalve/membership/tests/test_membership.py
@@ -23,6 +23,7 @@
         self.stopped = set()
         self.cut = set()
         self.changes = []
+        self.sent = 0
 
     def passes(self, source, target):
         ends = {source, target}
@@ -47,7 +48,10 @@
             elif isinstance(action, membership.Probe):
                 self.probe(name, action)
             elif self.passes(name, action.to):
-                self.reply(name, action.to, action.target, 0, action.alive)
+                self.sent += 1
+                self.reply(
+                    name, action.to, action.target, action.sequence, action.alive
+                )
 
     def probe(self, name, action):
         if self.passes(name, action.via) and self.passes(action.via, name):
@@ -190,8 +194,12 @@
         majority = fleet.view_by_name[one].has_majority(fleet.now)
         assert majority == (regions[one] == "a")
     fleet.cut = set()
-    fleet.step(6)
+    fleet.step(12)
     assert all(fleet.live(one, other) for one in names for other in names)
+    # Notices of opposite states once chased each other without end.
+    sent = fleet.sent
+    fleet.step(12)
+    assert fleet.sent == sent
 
 
 @given(
