--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -4,11 +4,13 @@
 the process or of the measuring thread, not wall-clock time.
 """
 
+import functools
+import itertools
 import json
 import random
 import time
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 import click
@@ -103,14 +105,14 @@
         range_map = build_map(size, lists)
         used = resident_bytes() - before
         if size <= 100_000:
-            used = allocated_bytes(lambda n=size: build_map(n, lists))
+            used = allocated_bytes(functools.partial(build_map, size, lists))
         how = f"{size} ranges"
         slopes.append(Slope(f"range_bytes@{size}", used / size, "B", how))
         lookup = each_cost_us(range_map.servers_of_key, keys)
         slopes.append(Slope(f"range_lookup@{size}", lookup, "us", how))
         if size <= 1_000_000:
             change = range_map.range_at(key_ranges.POSITIONS // 2)
-            cost = cost_us(lambda m=range_map, c=change: m.assign([c]), 3)
+            cost = cost_us(functools.partial(range_map.assign, [change]), 3)
             slopes.append(Slope(f"range_assign@{size}", cost, "us", how))
         del range_map
     for size in [256, *(size for size in sizes if size <= 1_000_000)]:
@@ -142,7 +144,7 @@
     slopes = [Slope("sketch_add", add, "us", "256 counters, Zipf 0.99, 100,000 keys")]
     for vms in (9, 65):
         parts = [hot_keys.restore(sketch.hottest(256), 1.0, 0.0) for _ in range(vms)]
-        cost = cost_us(lambda p=parts: hot_keys.merge(p), 3)
+        cost = cost_us(functools.partial(hot_keys.merge, parts), 3)
         slopes.append(Slope(f"sketch_merge@{vms}", cost, "us", f"{vms} sketches"))
     entries = sketch.hottest(256)
     encoded = len(msgspec.msgpack.encode(entries))
@@ -160,9 +162,9 @@
         by_key = {f"key-{index}": 30.0 / (index + 1) for index in range(256)}
         budget = balance.MoveBudget()
 
-        def plan(m=range_map, r=by_range, k=by_key, s=servers, b=budget) -> object:
-            return balance.plan_moves(m, r, k, s, b, 0.0)
-
+        plan = functools.partial(
+            balance.plan_moves, range_map, by_range, by_key, servers, budget, 0.0
+        )
         cost = cost_us(plan, 1, 3)
         slopes.append(
             Slope(f"plan@{count}", cost, "us", f"{count} servers, 64 ranges each")
@@ -179,8 +181,8 @@
         data = encoder.encode(value)
         how = "generated type, checked on decode"
         slopes.append(Slope(f"{name}_bytes", len(data), "B", how))
-        encode = cost_us(lambda e=encoder, v=value: e.encode(v), 2000)
-        decode = cost_us(lambda d=decoder, b=data: d.decode(b), 2000)
+        encode = cost_us(functools.partial(encoder.encode, value), 2000)
+        decode = cost_us(functools.partial(decoder.decode, data), 2000)
         slopes.append(Slope(f"{name}_encode", encode, "us", how))
         slopes.append(Slope(f"{name}_decode", decode, "us", how))
     for part, (one, many) in messages.TABLES.items():
@@ -188,8 +190,8 @@
         number = messages.TABLE_ENTRIES - 1
         decoder = msgspec.msgpack.Decoder(messages.TABLE_TYPE)
         data = msgspec.msgpack.encode(many)
-        encode = cost_us(lambda v=many: msgspec.msgpack.encode(v), 20) / number
-        decode = cost_us(lambda d=decoder, b=data: d.decode(b), 20) / number
+        encode = cost_us(functools.partial(msgspec.msgpack.encode, many), 20) / number
+        decode = cost_us(functools.partial(decoder.decode, data), 20) / number
         how = f"difference of tables with 1 and {messages.TABLE_ENTRIES} entries"
         slopes.append(Slope(f"owner_table_bytes_per_{part}", extra / number, "B", how))
         slopes.append(Slope(f"owner_table_encode_per_{part}", encode, "us", how))
@@ -197,6 +199,16 @@
     return slopes
 
 
+def pass_interval(
+    view: membership.MembershipView, watched: list[str], clock: Iterator[float]
+) -> None:
+    """Take in one heartbeat of each watched VM and tick."""
+    now = next(clock)
+    for name in watched:
+        view.on_heartbeat(name, "1", now)
+    view.tick(now)
+
+
 def membership_slopes(sizes: list[int]) -> list[Slope]:
     """Measure the view of one VM against the number of VMs."""
     slopes = []
@@ -208,21 +220,17 @@
             for name, found in membership.watchers_by_name(names, 4).items()
             if names[0] in found
         ]
-        state = {"now": 0.0}
-
-        def interval(v=view, w=watched, s=state) -> None:
-            s["now"] += 250.0
-            for name in w:
-                v.on_heartbeat(name, "1", s["now"])
-            v.tick(s["now"])
-
+        clock = itertools.count(0, 250)
+        interval = functools.partial(pass_interval, view, watched, clock)
         cost = cost_us(interval, 400)
         how = f"{size} VMs, 250 ms with {len(watched)} heartbeats"
         slopes.append(Slope(f"membership_interval@{size}", cost, "us", how))
-        read = cost_us(lambda v=view: v.live_by_name, 20)
+        read = cost_us(functools.partial(getattr, view, "live_by_name"), 20)
         slopes.append(Slope(f"membership_read@{size}", read, "us", how))
         if size == max(sizes):
-            used = allocated_bytes(lambda n=names: membership.MembershipView(n[0], n))
+            used = allocated_bytes(
+                functools.partial(membership.MembershipView, names[0], names)
+            )
             slopes.append(Slope(f"membership_bytes@{size}", used, "B", how))
     return slopes
 
--- a/benchmarks/transport.py
+++ b/benchmarks/transport.py
@@ -45,9 +45,13 @@
             ).start()
 
     def _copy(self, index: int, source: socket.socket, sink: socket.socket) -> None:
-        while data := source.recv(65536):
-            self.sent[index] += len(data)
-            sink.sendall(data)
+        try:
+            while data := source.recv(65536):
+                self.sent[index] += len(data)
+                sink.sendall(data)
+        except OSError:
+            # The other direction has closed both sockets.
+            return
         sink.close()
 
 
