Send versioned notices and follow the last position in a test

Change: notices carry their own sequence; the test reads last + 1. Conclusion: the test checks the same boundary as before.

--- a/src/wasabivalve/entry/control.py
+++ b/src/wasabivalve/entry/control.py
@@ -178,7 +178,7 @@
             )
         else:
             self._send_probe_reply(
-                action.to, action.target, membership.NOTICE_SEQUENCE, action.alive
+                action.to, action.target, action.sequence, action.alive
             )
 
     def _receive(self, incoming: peers.Incoming) -> None:
--- a/src/wasabivalve/ownership/tests/test_tenure.py
+++ b/src/wasabivalve/ownership/tests/test_tenure.py
@@ -180,7 +180,7 @@
     bench.run_until(900.0)
     table = owner_tables.build(bench.held, tokens.Token(5, 0, 99), bench.now)
     assert [item["server"] for item in table["ranges"]] == ["s1", "s2"]
-    assert [item["end"] for item in table["ranges"]] == [HALF, END]
+    assert [item["last"] + 1 for item in table["ranges"]] == [HALF, END]
     for key in ("lodge-1", "lodge-2", "lodge-3"):
         position = key_ranges.position_of_key(key)
         owner = table["ranges"][position >= HALF]
