Guard instances against poison requests and record burn in the entry process

Cause: quarantine and burn recording were not connected to requests. Change: the request path tracks requests in flight by instance, reruns suspects alone, refuses quarantined ones; one retry budget per rank; permits one ahead, as benchmarks/dispatch.py favours; burn summaries go to the log.

--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -2,12 +2,14 @@
 
 import random
 import threading
+import uuid
 from collections.abc import Callable
 from typing import Any
 
 import pykka
 
 from wasabivalve import (
+    burn,
     deduplication,
     events,
     metrics,
@@ -25,6 +27,7 @@
     clock,
     configuration,
     control,
+    crash_guard,
     deduplicator,
     dispatch,
     http_front,
@@ -40,6 +43,7 @@
 # Time in which the balancer notices that a stopping VM is not ready.
 READINESS_NOTICE_MS = 500.0
 DRAIN_SHARE = 0.8
+BURN_FLUSH_MS = 20_000.0
 MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
 
 
@@ -105,6 +109,15 @@
             self._bus,
             lambda: deduplicator.view_of(self._place_by_vm, self._published.mutual_vms),
         )
+        self._guard = crash_guard.CrashGuard(
+            settings["vm"],
+            self._bus,
+            lambda: [vm for vm, live in self._published.live_by_vm.items() if live],
+        )
+        self._burn = burn.BurnWindow(
+            settings["vm"], clock.wall_ms() / 1000, lambda: uuid.uuid4().hex
+        )
+        self._burn_queue = burn.SummaryQueue()
         self._path = request_path.RequestPath(
             request_path.Parts(
                 settings,
@@ -114,6 +127,7 @@
                     settings["vm"], self._bus, self._dispatcher, lambda: self._places
                 ),
                 self._client,
+                self._guard,
                 random.Random(),
             )
         )
@@ -140,6 +154,8 @@
         self._ticker.start()
         for follower in self._followers:
             follower.start()
+        self._burn_ticker = control.Ticker(self._flush_burn, BURN_FLUSH_MS)
+        self._burn_ticker.start()
         self._front.start()
         callers = self._settings["callers"]
         events.emit(
@@ -158,6 +174,9 @@
         self._front.close()
         for follower in self._followers:
             follower.close()
+        self._burn_ticker.close()
+        self._burn_queue.add(self._burn.close(clock.wall_ms() / 1000))
+        self._burn_queue.flush(self._access)
         self._ticker.close()
         self._control.stop()
         self._commands.close()
@@ -176,11 +195,28 @@
             return prepared
         started = clock.monotonic_ms()
         result = self._run(prepared)
-        self._metrics.timing("request.duration", clock.monotonic_ms() - started)
+        duration_ms = clock.monotonic_ms() - started
+        self._metrics.timing("request.duration", duration_ms)
         if not isinstance(result, caller_request.Problem):
             self._metrics.count(_METRIC_BY_OUTCOME[type(result)])
+            self._record_burn(prepared, result, duration_ms)
         return result
 
+    def _record_burn(
+        self,
+        prepared: request_path.Prepared,
+        outcome: outcomes.Outcome,
+        duration_ms: float,
+    ) -> None:
+        rank = prepared.rank
+        self._burn.record(
+            prepared.service.name,
+            rank.name,
+            burn.classify(outcome, duration_ms, rank.target_ms),
+            duration_ms,
+            clock.wall_ms() / 1000,
+        )
+
     def _run(
         self, prepared: request_path.Prepared
     ) -> outcomes.Outcome | caller_request.Problem:
@@ -219,9 +255,14 @@
             vm for vm, live in self._published.live_by_vm.items() if live and vm != own
         ]
 
+    def _flush_burn(self) -> None:
+        self._burn_queue.add(self._burn.take(clock.wall_ms() / 1000))
+        self._burn_queue.flush(self._access)
+
     def _tick(self) -> None:
         self._dispatcher.expire(clock.monotonic_ms())
         self._deduplicator.tick()
+        self._guard.tick()
         self._tell(control.Tick())
 
     def _tell(self, message: Any) -> None:
@@ -277,6 +318,8 @@
             self._deduplicator.on_reserve(incoming)
         elif incoming.kind == "record_answer":
             self._deduplicator.on_record(incoming)
+        elif incoming.kind == "quarantine_notice":
+            self._guard.on_notice(incoming)
         elif incoming.kind == "log_relay_request":
             self._access.serve(incoming)
         elif incoming.kind == "owner_table":
@@ -305,7 +348,7 @@
             },
             "shards": published.shards,
             "instances": {},
-            "quarantine": [],
+            "quarantine": self._guard.quarantined(),
         }
 
 
--- a/src/wasabivalve/entry/dispatch.py
+++ b/src/wasabivalve/entry/dispatch.py
@@ -7,6 +7,9 @@
 from wasabivalve import admission, resources
 from wasabivalve.schema import messages_generated
 
+# Covers the time that a permit travels, in which a slot would be idle.
+PERMITS_AHEAD = 1
+
 ReplyFunction = Callable[[messages_generated.PermitReply], None]
 
 
@@ -96,7 +99,7 @@
         if self._shape_by_instance.get(str(name)) != shape:
             # Requests in the old queue get no reply and ask again.
             self._queue_by_instance[str(name)] = admission.InstanceQueue(
-                service.slots, policy_by_rank
+                service.slots, policy_by_rank, PERMITS_AHEAD
             )
             self._shape_by_instance[str(name)] = shape
         return self._queue_by_instance[str(name)]
--- a/src/wasabivalve/entry/request_path.py
+++ b/src/wasabivalve/entry/request_path.py
@@ -1,5 +1,6 @@
 """Carry a request from its caller to an instance and back."""
 
+import collections
 import random
 import time
 import uuid
@@ -9,7 +10,15 @@
 from wasabivalve import outcomes, resources, retries, routing
 from wasabivalve.schema import settings_generated
 
-from . import caller_request, clock, dispatch, owners, permits, upstream_client
+from . import (
+    caller_request,
+    clock,
+    crash_guard,
+    dispatch,
+    owners,
+    permits,
+    upstream_client,
+)
 
 # Longest wait for another owner before the table is looked at again.
 OWNER_WAIT_MS = 50.0
@@ -32,6 +41,7 @@
     idempotent: bool
     deadline_at: float
     hold_until: float
+    fingerprint: str
 
 
 class Parts(NamedTuple):
@@ -42,6 +52,7 @@
     owners: owners.OwnerTables
     permits: permits.Permits
     client: upstream_client.UpstreamClient
+    guard: crash_guard.CrashGuard
     generator: random.Random
 
 
@@ -51,7 +62,10 @@
     def __init__(self, parts: Parts):
         self._parts = parts
         self._observations = routing.Observations()
-        self._budget = retries.RetryBudget()
+        # One per rank, so that a flood cannot use up the retries of urgent work.
+        self._budget_by_rank: dict[str, retries.RetryBudget] = collections.defaultdict(
+            retries.RetryBudget
+        )
         self._region_by_data_centre = {
             data_centre: region
             for region, names in parts.settings["regions"].items()
@@ -91,17 +105,28 @@
         now = clock.monotonic_ms()
         deadline_at = now + request.deadline_ms
         hold_until = min(deadline_at, now + rank.queue_age_ms)
-        return Prepared(request, service, rank, idempotent, deadline_at, hold_until)
+        return Prepared(
+            request,
+            service,
+            rank,
+            idempotent,
+            deadline_at,
+            hold_until,
+            crash_guard.fingerprint_of(request),
+        )
 
     def run(self, prepared: Prepared) -> outcomes.Outcome:
         """Try a request until an outcome is final."""
-        self._budget.on_request()
+        budget = self._budget_by_rank[prepared.rank.name]
+        budget.on_request()
         attempts = 0
         while True:
             attempt = self._attempt(prepared)
             outcome = attempt.outcome
             if self._waits_for_owner(prepared, attempt):
                 continue
+            if attempt.is_final:
+                return outcome
             attempts += 1
             attempted = retries.AttemptedRequest(
                 prepared.idempotent, attempts, prepared.deadline_at
@@ -110,7 +135,7 @@
                 outcome,
                 attempted,
                 clock.monotonic_ms(),
-                self._budget,
+                budget,
                 self._parts.generator,
             )
             if isinstance(decision, retries.Stop):
@@ -136,18 +161,45 @@
         if route is None:
             return _not_run("no instance owns the key or is available")
         name = dispatch.InstanceName(prepared.service.name, route.instance.name)
+        alone = self._parts.guard.is_suspected(prepared.fingerprint)
         permit = self._parts.permits.acquire(
-            name, self.place(route.instance.data_centre), _demand(prepared)
+            name, self.place(route.instance.data_centre), _demand(prepared, alone)
         )
         if isinstance(permit, permits.NoPermit):
             return _not_run(permit.reason, permit.retry_after_ms)
-        attempt = self._send(prepared, route, str(name))
+        attempt = self._send_if_admitted(prepared, route, str(name), alone)
         done = isinstance(attempt.outcome, outcomes.Done)
         self._parts.permits.release(permit, "done" if done else "failed")
         if self._waits_for_owner(prepared, attempt):
             self._wait_for_owner(prepared, route.table)
         return attempt
 
+    def _send_if_admitted(
+        self, prepared: Prepared, route: Route, name: str, alone: bool
+    ) -> upstream_client.Attempt:
+        """Send a request unless it is suspected of crashing instances."""
+        guard, fingerprint = self._parts.guard, prepared.fingerprint
+        admission = guard.start(fingerprint, name)
+        if admission.verdict == "quarantined":
+            return _not_run("request crashed instances and is quarantined", 0.0, True)
+        if admission.verdict == "wait":
+            return _not_run("request is suspected", admission.retry_after_ms)
+        rerun = admission.verdict == "run_alone"
+        if rerun and not alone:
+            # It became suspected while it waited for a slot that it must not share.
+            guard.finish(fingerprint, name, crashed=False, alone=True, done=False)
+            return _not_run("request is suspected")
+        attempt = self._send(prepared, route, name)
+        unknown = isinstance(attempt.outcome, outcomes.Unknown)
+        guard.finish(
+            fingerprint,
+            name,
+            crashed=attempt.crashed and unknown,
+            alone=rerun,
+            done=isinstance(attempt.outcome, outcomes.Done),
+        )
+        return attempt
+
     def _send(
         self, prepared: Prepared, route: Route, name: str
     ) -> upstream_client.Attempt:
@@ -219,6 +271,9 @@
             self._parts.generator,
             clock.monotonic_ms(),
             most_in_flight=service.slots,
+            # Limits what identical writes can crash before they are known; reads
+            # may be hot and need every instance.
+            affinity=prepared.fingerprint if prepared.request.body else None,
         )
         return Route(instance_by_name[chosen], "", None) if chosen else None
 
@@ -236,12 +291,13 @@
     return ranks[-1] if ranks else None
 
 
-def _demand(prepared: Prepared) -> permits.SlotDemand:
+def _demand(prepared: Prepared, alone: bool) -> permits.SlotDemand:
     return permits.SlotDemand(
         prepared.rank.name,
         prepared.deadline_at,
         len(prepared.request.body),
         float(prepared.rank.queue_age_ms),
+        alone,
     )
 
 
@@ -253,5 +309,8 @@
     return (*request.headers, ("Wasabivalve-Key", request.key))
 
 
-def _not_run(reason: str, retry_after_ms: float = 0.0) -> upstream_client.Attempt:
-    return upstream_client.Attempt(outcomes.NotRun(reason, retry_after_ms), 0.0)
+def _not_run(
+    reason: str, retry_after_ms: float = 0.0, is_final: bool = False
+) -> upstream_client.Attempt:
+    outcome = outcomes.NotRun(reason, retry_after_ms)
+    return upstream_client.Attempt(outcome, 0.0, is_final=is_final)
--- a/src/wasabivalve/entry/upstream_client.py
+++ b/src/wasabivalve/entry/upstream_client.py
@@ -48,6 +48,7 @@
     crashed: bool = False
     silent: bool = False
     stale_owner: bool = False
+    is_final: bool = False
 
 
 class _FreshPool(urllib3.HTTPConnectionPool):
--- a/src/wasabivalve/quarantine/core.py
+++ b/src/wasabivalve/quarantine/core.py
@@ -86,6 +86,15 @@
         suspect = self._get(fingerprint, now)
         return suspect is not None and suspect.convicted
 
+    def is_suspected(self, fingerprint: str, now: float) -> bool:
+        """Return whether a fingerprint is known from a crash."""
+        return self._get(fingerprint, now) is not None
+
+    def quarantined(self, now: float) -> list[str]:
+        """Return the convicted fingerprints."""
+        names = list(self._suspect_by_fingerprint)
+        return sorted(name for name in names if self.is_quarantined(name, now))
+
     def admit(
         self, fingerprint: str, live_vms: Collection[str], now: float
     ) -> Admission:
