Tell unknown after any attempt that may have run

Cause: a trial of a poison request showed 'not run' for a request that had crashed two instances: the outcome of the last, refused attempt was told. Change: the outcome of all attempts counts; a refusal does not undo doubt. Conclusion: 'not run' is told only when no attempt may have run.

--- a/src/wasabivalve/entry/request_path.py
+++ b/src/wasabivalve/entry/request_path.py
@@ -120,26 +120,25 @@
         budget = self._budget_by_rank[prepared.rank.name]
         budget.on_request()
         attempts = 0
+        doubt: outcomes.Unknown | None = None
         while True:
             attempt = self._attempt(prepared)
-            outcome = attempt.outcome
+            if isinstance(attempt.outcome, outcomes.Unknown):
+                doubt = attempt.outcome
             if self._waits_for_owner(prepared, attempt):
                 continue
-            if attempt.is_final:
-                return outcome
             attempts += 1
-            attempted = retries.AttemptedRequest(
-                prepared.idempotent, attempts, prepared.deadline_at
-            )
             decision = retries.next_attempt(
-                outcome,
-                attempted,
+                attempt.outcome,
+                retries.AttemptedRequest(
+                    prepared.idempotent, attempts, prepared.deadline_at
+                ),
                 clock.monotonic_ms(),
                 budget,
                 self._parts.generator,
             )
-            if isinstance(decision, retries.Stop):
-                return outcome
+            if attempt.is_final or isinstance(decision, retries.Stop):
+                return _combined(attempt.outcome, doubt)
             time.sleep(decision.delay_ms / 1000)
 
     def _waits_for_owner(
@@ -278,6 +277,13 @@
         return Route(instance_by_name[chosen], "", None) if chosen else None
 
 
+def _combined(
+    last: outcomes.Outcome, doubt: outcomes.Unknown | None
+) -> outcomes.Outcome:
+    """Return the outcome of all attempts: a refusal does not undo an earlier run."""
+    return doubt if doubt and isinstance(last, outcomes.NotRun) else last
+
+
 def shard_of(service: str) -> str:
     """Return the shard of a service; each service has one today."""
     return f"{service}/0"
--- /dev/null
+++ b/src/wasabivalve/entry/tests/test_request_path.py
@@ -0,0 +1,150 @@
+"""Guard the outcome that a caller is told after several attempts."""
+
+import random
+
+import pytest
+
+from wasabivalve import outcomes, quarantine, resources, routing
+from wasabivalve.entry import (
+    caller_request,
+    dispatch,
+    owners,
+    permits,
+    request_path,
+    upstream_client,
+)
+from wasabivalve.settings.tests import test_settings
+
+INSTANCES = tuple(
+    resources.Instance(f"vanlog-{number}", "khomas-a", "127.0.0.1", 1)
+    for number in (1, 2)
+)
+SERVICE = resources.Service(
+    name="vanlog",
+    revision=1,
+    divided_by_key=False,
+    checks_fencing=True,
+    slots=2,
+    connections=10,
+    instances=INSTANCES,
+    idempotent_methods=frozenset({"GET"}),
+    ranges_per_instance=64,
+)
+RANK = resources.Rank("urgent", 1, 0, 0.0, 100, 0.99, 10, 1_000, 1_000, 0)
+VIEW = resources.View(
+    2, {"vanlog": SERVICE}, {"urgent": RANK}, {}, frozenset(), frozenset()
+)
+DONE = upstream_client.Attempt(outcomes.Done(200, (), b""), 1.0)
+NOT_RUN = upstream_client.Attempt(outcomes.NotRun("shed"), 1.0)
+UNKNOWN = upstream_client.Attempt(outcomes.Unknown("cut off"), 1.0, crashed=True)
+ID = "018bcfe5-6800-7cc3-98c4-dc0c0c07398f"
+
+
+class FakePermits:
+    """Grant every slot, or none."""
+
+    def __init__(self, granted=True):
+        self.granted = granted
+        self.released = []
+
+    def acquire(self, instance, place, demand):
+        if not self.granted:
+            return permits.NoPermit("deadline", 0.0)
+        return permits.Permit("p", instance, "entry-1", 0.0)
+
+    def release(self, permit, outcome):
+        self.released.append(outcome)
+
+
+class FakeGuard:
+    """Admit every request."""
+
+    def is_suspected(self, fingerprint):
+        return False
+
+    def start(self, fingerprint, instance):
+        return quarantine.Admission("run")
+
+    def finish(self, fingerprint, instance, **result):
+        pass
+
+
+class FakeClient:
+    """Return the scripted attempts in order."""
+
+    def __init__(self, attempts):
+        self.attempts = list(attempts)
+
+    def send(self, request):
+        return self.attempts.pop(0)
+
+
+def make_path(attempts, granted=True):
+    client = FakeClient(attempts)
+    parts = request_path.Parts(
+        test_settings.DOCUMENT,
+        lambda: VIEW,
+        owners.OwnerTables(),
+        FakePermits(granted),
+        client,
+        FakeGuard(),
+        random.Random(1),
+    )
+    return request_path.RequestPath(parts), client
+
+
+def make_request(method="GET", **changes):
+    request = caller_request.CallerRequest(
+        method, "/", (), b"", "vanlog", "", "urgent", 5_000.0, ID
+    )
+    return request._replace(**changes)
+
+
+@pytest.mark.parametrize(
+    ("method", "attempts", "kind", "left"),
+    [
+        ("GET", [UNKNOWN, DONE], outcomes.Done, 0),
+        ("GET", [NOT_RUN, DONE], outcomes.Done, 0),
+        ("GET", [UNKNOWN, NOT_RUN, NOT_RUN, NOT_RUN, NOT_RUN], outcomes.Unknown, 0),
+        ("GET", [NOT_RUN] * 5, outcomes.NotRun, 0),
+        ("POST", [UNKNOWN, DONE], outcomes.Unknown, 1),
+        ("POST", [NOT_RUN, DONE], outcomes.Done, 0),
+    ],
+)
+def test_not_run_is_never_told_after_doubt(method, attempts, kind, left):
+    """A refused retry would otherwise hide that the first attempt may have run."""
+    path, client = make_path(attempts)
+    prepared = path.prepare(make_request(method))
+    assert isinstance(path.run(prepared), kind)
+    assert len(client.attempts) == left
+
+
+def test_no_slot_is_not_run():
+    path, client = make_path([DONE], granted=False)
+    outcome = path.run(path.prepare(make_request(deadline_ms=50.0)))
+    assert isinstance(outcome, outcomes.NotRun)
+    assert client.attempts == [DONE]
+
+
+@pytest.mark.parametrize(
+    ("changes", "status"),
+    [
+        ({"service": "absent"}, 404),
+        ({"rank": "absent"}, 400),
+        ({"method": "POST", "idempotency_key": ""}, 400),
+    ],
+)
+def test_bad_requests_are_refused_before_an_attempt(changes, status):
+    path, _ = make_path([])
+    assert path.prepare(make_request(**changes)).status == status
+
+
+def test_a_service_divided_by_key_needs_a_key():
+    divided = SERVICE._replace(divided_by_key=True)
+    path, _ = make_path([])
+    path._parts = path._parts._replace(
+        view=lambda: VIEW._replace(service_by_name={"vanlog": divided})
+    )
+    assert path.prepare(make_request()).status == 400
+    assert str(dispatch.InstanceName("vanlog", "vanlog-1")) == "vanlog/vanlog-1"
+    assert path.place("khomas-a") == routing.Place("khomas-a", "khomas")
