Report drained instances from any entry VM and obey drain orders of VMs

Change: VMs share their requests in flight at drained instances; a VM with a drain order is not ready and draining.

--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -32,6 +32,7 @@
     dispatch,
     http_front,
     log_access,
+    observations,
     owners,
     permits,
     request_path,
@@ -114,6 +115,9 @@
             self._bus,
             lambda: [vm for vm, live in self._published.live_by_vm.items() if live],
         )
+        self._observations = observations.Observations(
+            settings["vm"], self._bus, self._configuration.view, self._guard.in_flight
+        )
         self._burn = burn.BurnWindow(
             settings["vm"], clock.wall_ms() / 1000, lambda: uuid.uuid4().hex
         )
@@ -145,7 +149,7 @@
             self._settings,
             self._bus,
             lambda: self._configuration.state.revision,
-            self._stopping.is_set,
+            self._is_draining,
             self._on_publish,
             self._make_shards,
             self._on_failed,
@@ -246,8 +250,14 @@
 
     def _is_ready(self) -> bool:
         """Return whether to take traffic: with proved configuration and holders."""
-        has_configuration = self._configuration.view() is not None
-        return has_configuration and self._deduplicator.is_settled()
+        if self._configuration.view() is None or self._is_draining():
+            return False
+        return self._deduplicator.is_settled()
+
+    def _is_draining(self) -> bool:
+        view = self._configuration.view()
+        ordered = view is not None and self._settings["vm"] in view.drained_vms
+        return ordered or self._stopping.is_set()
 
     def _live_peers(self) -> list[str]:
         own = self._settings["vm"]
@@ -263,6 +273,7 @@
         self._dispatcher.expire(clock.monotonic_ms())
         self._deduplicator.tick()
         self._guard.tick()
+        self._observations.tick()
         self._tell(control.Tick())
 
     def _tell(self, message: Any) -> None:
@@ -318,6 +329,8 @@
             self._deduplicator.on_reserve(incoming)
         elif incoming.kind == "record_answer":
             self._deduplicator.on_record(incoming)
+        elif incoming.kind == "observation":
+            self._observations.on_observation(incoming)
         elif incoming.kind == "quarantine_notice":
             self._guard.on_notice(incoming)
         elif incoming.kind == "log_relay_request":
@@ -334,7 +347,7 @@
             "vm": self._settings["vm"],
             "configuration_revision": self._configuration.state.revision,
             "ready": self._is_ready(),
-            "draining": self._stopping.is_set(),
+            "draining": self._is_draining(),
             "vms": {
                 vm: {
                     "live": live,
@@ -347,7 +360,9 @@
                 for vm, live in published.live_by_vm.items()
             },
             "shards": published.shards,
-            "instances": {},
+            "instances": self._observations.instances(
+                [vm for vm, live in published.live_by_vm.items() if live]
+            ),
             "quarantine": self._guard.quarantined(),
         }
 
