--- a/src/wasabivalve/ownership/authority.py
+++ b/src/wasabivalve/ownership/authority.py
@@ -58,7 +58,7 @@
         self._log_read_at = 0.0
         self._until = float("-inf")
         self._learned_revision = 0
-        self._highest = promises.Rank()
+        self._used_position_by_term: dict[int, int] = {}
         self._sent_by_time: dict[float, _Sent] = {}
         self._promise_by_vm: dict[str, _Promise] = {}
         self._next_request_at = float("-inf")
@@ -116,11 +116,21 @@
             return False
         return self._next_position() is None and bool(self.endorsements(now))
 
-    def on_superseded(self, term: int, position: int) -> None:
-        """Stop: a server has obeyed a later controller of this shard."""
-        rank = promises.Rank(self.state.group_revision, term, position)
-        self._highest = max(self._highest, rank)
-        self._until = float("-inf")
+    def on_position_seen(self, term: int, position: int) -> None:
+        """Note that a controller acted; stop if it is a later one than this."""
+        self._note_position(term, position)
+        own = -1 if self.position is None else self.position
+        if (term, position) > (self.state.term, own):
+            self._until = float("-inf")
+
+    def _note_position(self, term: int, position: int) -> None:
+        known = self._used_position_by_term.get(term, -1)
+        used = {**self._used_position_by_term, term: max(known, position)}
+        self._used_position_by_term = {
+            number: highest
+            for number, highest in used.items()
+            if number >= self.state.term
+        }
 
     def revision_is_confirmed(self, now: float) -> bool:
         """Return whether a majority knows the revision that this VM acts on."""
@@ -171,8 +181,7 @@
         if not reply["granted"]:
             if reply["reason"] == promises.STARTED_RECENTLY and self.holds(now):
                 self.successor_restarted = True
-            rank = (reply["group_revision"], reply["term"], reply["position"])
-            self._highest = max(self._highest, promises.Rank(*rank))
+            self._note_position(reply["term"], reply["position"])
             return
         self._learned_revision = max(self._learned_revision, reply["revision"])
         expires_at = reply["sent_at"] + promises.PROMISE_MS
@@ -261,9 +270,9 @@
 
     def _highest_position(self) -> int:
         """Return the highest position that is known to be used in this term."""
-        ranks = (self._highest, self._giver.given(self.shard).rank)
-        used = [rank.position for rank in ranks if rank.term == self.state.term]
-        return max(used, default=-1)
+        used = self._used_position_by_term.get(self.state.term, -1)
+        given = self._giver.given(self.shard).rank
+        return max(used, given.position) if given.term == self.state.term else used
 
     def _continue_attempt(self, now: float) -> bool:
         """Return whether to ask now, while another VM may hold authority."""
--- a/src/wasabivalve/ownership/controller.py
+++ b/src/wasabivalve/ownership/controller.py
@@ -145,12 +145,8 @@
         self._on_later_token(reply.highest_token)
 
     def _on_later_token(self, seen: tokens.Token) -> None:
-        """Stop if a later controller acted; its promises may be forgotten."""
-        own = self.authority.position
-        if self.tenure is None or own is None:
-            return
-        if seen[:2] > (self.authority.state.term, own):
-            self.authority.on_superseded(seen.term, seen.position)
+        """Learn of a later controller, whose promises may be forgotten."""
+        self.authority.on_position_seen(seen.term, seen.position)
 
     def _on_moves(self, moves: tuple[decisions.Move, ...], now: float) -> None:
         if self.tenure is not None:
--- a/src/wasabivalve/ownership/tests/test_authority.py
+++ b/src/wasabivalve/ownership/tests/test_authority.py
@@ -163,3 +163,17 @@
     held = controller("a", givers)
     exchange(held, givers, 400.0)
     assert held.holds(400.0) and held.is_behind()
+
+
+def test_position_seen_in_a_table_is_not_used_again():
+    """Routers ignore the tables of a lower position, and givers may forget it."""
+    givers = {vm: ready_giver(vm) for vm in VMS}
+    held = controller("a", givers)
+    held.on_position_seen(5, 1)
+    ((_, message), *_) = held.requests(10.0)
+    assert message["position"] == 3
+    held.on_reply(givers["a"].on_request(message, 20.0), 30.0)
+    held.on_reply(givers["b"].on_request(message, 20.0), 30.0)
+    assert held.holds(40.0)
+    held.on_position_seen(5, 4)
+    assert not held.holds(40.0)
