Balance ranges and hot keys by the load that entry VMs report

Cause: ranges stayed where the first assignment put them. Imbalance with real processes is not measured; benchmarks/placement.py covers the planner.

--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -31,6 +31,7 @@
     deduplicator,
     dispatch,
     http_front,
+    load_counter,
     log_access,
     observations,
     owners,
@@ -122,6 +123,7 @@
             settings["vm"], clock.wall_ms() / 1000, lambda: uuid.uuid4().hex
         )
         self._burn_queue = burn.SummaryQueue()
+        self._counter_by_shard: dict[str, load_counter.LoadCounter] = {}
         self._path = request_path.RequestPath(
             request_path.Parts(
                 settings,
@@ -133,6 +135,7 @@
                 self._client,
                 self._guard,
                 random.Random(),
+                self._counter_by_shard,
             )
         )
         self._front = http_front.HttpFront(
@@ -294,6 +297,7 @@
                 self._commands,
                 # Record ids must not be guessable.
                 random.SystemRandom(),
+                self._counter_by_shard,
             ),
             now,
         )
--- /dev/null
+++ b/src/wasabivalve/entry/load_counter.py
@@ -0,0 +1,89 @@
+"""Count requests by range and hot key for the balancer."""
+
+import bisect
+import threading
+from collections.abc import Collection, Sequence
+
+from wasabivalve import ownership
+from wasabivalve.ownership import hot_keys
+from wasabivalve.schema import messages_generated
+
+from . import clock
+
+
+class LoadCounter:
+    """Count the requests of one shard on one VM; safe to use from threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._starts: Sequence[int] = (0,)
+        self._single_keys: frozenset[str] = frozenset()
+        self._requests_by_start: dict[int, float] = {}
+        self._requests_by_key: dict[str, float] = {}
+        self._sketch = ownership.SpaceSaving(now=clock.monotonic_ms())
+        self._reported: tuple[ownership.HotKey, ...] = ()
+
+    def set_ranges(self, starts: Sequence[int], single_keys: Collection[str]) -> None:
+        """Take in the ranges and single keys that the log names."""
+        with self._lock:
+            self._starts = tuple(starts) or (0,)
+            self._single_keys = frozenset(single_keys)
+
+    def add(self, key: str) -> None:
+        """Count one request of a key."""
+        with self._lock:
+            self._sketch.add(key)
+            if key in self._single_keys:
+                self._add_to_key(key, 1.0)
+            else:
+                self._add_to_range(key, 1.0)
+
+    def take(self, shard: str) -> messages_generated.LoadReport:
+        """Return the requests since the last call.
+
+        A hot key counts as a key and not with its range, so that the balancer can
+        place it singly.
+        """
+        with self._lock:
+            self._move_hot_keys()
+            report: messages_generated.LoadReport = {
+                "shard": shard,
+                "ranges": [
+                    {"start": start, "requests": max(0.0, requests)}
+                    for start, requests in self._requests_by_start.items()
+                ],
+                "keys": [
+                    {"key": key, "requests": requests}
+                    for key, requests in self._requests_by_key.items()
+                ],
+            }
+            self._requests_by_start = {}
+            self._requests_by_key = {}
+            return report
+
+    def _move_hot_keys(self) -> None:
+        found = self._sketch.hottest(hot_keys.COUNTERS)
+        for key, requests in ownership.hot_keys.increments(
+            self._reported, found
+        ).items():
+            if key not in self._single_keys and requests > 0:
+                self._add_to_key(key, requests)
+                self._add_to_range(key, -requests)
+        before = self._sketch.total
+        self._sketch.advance(clock.monotonic_ms())
+        factor = self._sketch.total / before if before else 1.0
+        self._reported = tuple(
+            ownership.HotKey(row.key, row.requests * factor, row.error * factor)
+            for row in found
+        )
+
+    def _add_to_key(self, key: str, requests: float) -> None:
+        count = self._requests_by_key.get(key, 0.0)
+        self._requests_by_key[key] = count + requests
+
+    def _add_to_range(self, key: str, requests: float) -> None:
+        position = ownership.position_of_key(key)
+        index = max(0, bisect.bisect_right(self._starts, position) - 1)
+        start = self._starts[index]
+        count = self._requests_by_start.get(start, 0.0)
+        self._requests_by_start[start] = count + requests
--- a/src/wasabivalve/entry/request_path.py
+++ b/src/wasabivalve/entry/request_path.py
@@ -4,7 +4,7 @@
 import random
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from wasabivalve import outcomes, resources, retries, routing
@@ -15,6 +15,7 @@
     clock,
     crash_guard,
     dispatch,
+    load_counter,
     owners,
     permits,
     upstream_client,
@@ -54,6 +55,7 @@
     client: upstream_client.UpstreamClient
     guard: crash_guard.CrashGuard
     generator: random.Random
+    counter_by_shard: Mapping[str, load_counter.LoadCounter]
 
 
 class RequestPath:
@@ -119,6 +121,9 @@
         """Try a request until an outcome is final."""
         budget = self._budget_by_rank[prepared.rank.name]
         budget.on_request()
+        counter = self._parts.counter_by_shard.get(shard_of(prepared.service.name))
+        if counter is not None:
+            counter.add(prepared.request.key)
         attempts = 0
         doubt: outcomes.Unknown | None = None
         while True:
--- a/src/wasabivalve/entry/shards.py
+++ b/src/wasabivalve/entry/shards.py
@@ -9,7 +9,15 @@
 from wasabivalve.ownership import controller, decisions, promises, replay
 from wasabivalve.routing import rendezvous
 
-from . import log_access, owners, request_path, server_commands, upstream_client
+from . import (
+    balancer,
+    load_counter,
+    log_access,
+    owners,
+    request_path,
+    server_commands,
+    upstream_client,
+)
 
 # Each VM asks one peer for a newer table in this interval: a push may be lost.
 TABLE_PULL_MS = 1_000.0
@@ -25,6 +33,13 @@
     owners: owners.OwnerTables
     commands: server_commands.ServerCommands
     generator: random.Random
+    counter_by_shard: dict[str, load_counter.LoadCounter]
+
+
+class _Servers(NamedTuple):
+    """Name the servers of a shard that may get ranges, with their data centres."""
+
+    data_centre_by_server: dict[str, str]
 
 
 class Shards:
@@ -40,6 +55,9 @@
         self._place_by_vm: Mapping[str, routing.Place] = {}
         self._appends = futures.ThreadPoolExecutor(1, "control-append")
         self._next_pull = 0.0
+        self._balancer_by_shard: dict[str, balancer.Balancer] = {}
+        self._servers_by_shard: dict[str, _Servers] = {}
+        self._next_report = now + balancer.REPORT_MS
 
     @property
     def next_offset(self) -> int:
@@ -76,6 +94,13 @@
                 name for owner, name in view.drained_instances if owner == service.name
             )
             names = tuple(instance.name for instance in service.instances)
+            self._servers_by_shard[shard] = _Servers(
+                {
+                    instance.name: instance.data_centre
+                    for instance in service.instances
+                    if instance.name not in leaving
+                }
+            )
             event = decisions.ServersChanged(names, leaving)
             self._handle(shard, event, now)
 
@@ -105,6 +130,10 @@
             return
         self._giver.log_read(self._state)
         for shard in self._controller_by_shard:
+            agreed = self._state.shard(shard)
+            self._parts.counter_by_shard[shard].set_ranges(
+                [item.start for item in agreed.ranges], agreed.servers_by_key
+            )
             self._handle(shard, decisions.LogRead(self._state), now)
 
     def on_log_gap(self, oldest_offset: int) -> None:
@@ -128,6 +157,9 @@
             if known and message["vm"] == incoming.sender:
                 event = decisions.PromiseReplied(message)
                 self._handle(message["shard"], event, now)
+        elif incoming.kind == "load_report":
+            if message["shard"] in self._balancer_by_shard:
+                self._balancer_by_shard[message["shard"]].on_report(message)
         elif incoming.kind == "owner_table_request":
             newer = self._parts.owners.newer_than(message["shard"], message["known"])
             if newer is not None:
@@ -138,6 +170,10 @@
         self._giver.tick(now)
         for shard in self._controller_by_shard:
             self._handle(shard, decisions.Tick(), now)
+            self._balance(shard, now)
+        if now >= self._next_report:
+            self._next_report = now + balancer.REPORT_MS
+            self._report_load()
         if now >= self._next_pull and live_peers:
             self._next_pull = now + TABLE_PULL_MS
             peer = self._parts.generator.choice(list(live_peers))
@@ -145,6 +181,41 @@
                 request = self._parts.owners.request_for(shard)
                 self._parts.bus.send(peer, "owner_table_request", request)
 
+    def _balance(self, shard: str, now: float) -> None:
+        """Plan moves while this VM is the controller and no server is lost."""
+        tenure = self._controller_by_shard[shard].tenure
+        if tenure is None:
+            self._balancer_by_shard[shard] = balancer.Balancer(now)
+            return
+        servers = self._servers_by_shard[shard].data_centre_by_server
+        if not set(servers) <= set(tenure.usable_servers(now)):
+            return
+        moves = self._balancer_by_shard[shard].plan(
+            self._state.shard(shard), servers, now
+        )
+        if moves:
+            self._handle(shard, decisions.MovesRequested(moves), now)
+
+    def _report_load(self) -> None:
+        """Send the load of each shard to its controller."""
+        for shard, counter in self._parts.counter_by_shard.items():
+            report = counter.take(shard)
+            controller_vm = self._controller_of(shard)
+            if controller_vm == self._parts.vm:
+                self._balancer_by_shard[shard].on_report(report)
+            elif controller_vm:
+                self._parts.bus.send(controller_vm, "load_report", report)
+
+    def _controller_of(self, shard: str) -> str:
+        """Return the VM that published the newest owner table, empty for none."""
+        table = self._parts.owners.find(shard)
+        agreed = self._state.shard(shard)
+        if table is None or table.generation.term != agreed.term:
+            return ""
+        position = table.generation.position
+        known = position < len(agreed.controllers)
+        return agreed.controllers[position] if known else ""
+
     def _note_addresses(self, service: resources.Service) -> None:
         for instance in service.instances:
             address = upstream_client.Address(instance.host, instance.port)
@@ -153,6 +224,8 @@
     def _add_controller(
         self, shard: str, service: resources.Service, now: float
     ) -> None:
+        self._balancer_by_shard[shard] = balancer.Balancer(now)
+        self._parts.counter_by_shard.setdefault(shard, load_counter.LoadCounter())
         self._controller_by_shard[shard] = controller.ShardController(
             self._parts.vm,
             shard,
--- a/src/wasabivalve/entry/tests/test_request_path.py
+++ b/src/wasabivalve/entry/tests/test_request_path.py
@@ -89,6 +89,7 @@
         client,
         FakeGuard(),
         random.Random(1),
+        {},
     )
     return request_path.RequestPath(parts), client
 
--- a/src/wasabivalve/peers/codec.py
+++ b/src/wasabivalve/peers/codec.py
@@ -26,6 +26,7 @@
     "log_relay_reply": messages.LogRelayReply,
     "configuration_relay": messages.ConfigurationRelay,
     "observation": messages.Observation,
+    "load_report": messages.LoadReport,
 }
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/wasabivalve/schema/messages_generated.py
+++ b/src/wasabivalve/schema/messages_generated.py
@@ -246,6 +246,34 @@
     entries: bytes
 
 
+class RangeLoad(TypedDict):
+    """
+    Requests of one range, named by its first position.
+    """
+
+    start: int
+    requests: float
+
+
+class KeyLoad(TypedDict):
+    """
+    Requests of one key.
+    """
+
+    key: str
+    requests: float
+
+
+class LoadReport(TypedDict):
+    """
+    Report the requests that one VM sent in an interval.
+    """
+
+    shard: str
+    ranges: list[RangeLoad]
+    keys: list[KeyLoad]
+
+
 class OwnerTable(TypedDict):
     """
     Publish the owners of the ranges of a shard.
