Let controllers follow tables of others and carry the draining mark

Cause: a controller that returns must learn positions used meanwhile, and a new one must see which ranges an abandoned move left draining. Change: accepted owner tables reach the controllers; the ownership codec carries the draining mark of a held range.

--- a/src/wasabivalve/entry/control.py
+++ b/src/wasabivalve/entry/control.py
@@ -52,6 +52,12 @@
     view: resources.View
 
 
+class TableSeen(NamedTuple):
+    """Hand an owner table of a peer that is newer than the one held to the actor."""
+
+    table: messages_generated.OwnerTable
+
+
 class ServerReplied(NamedTuple):
     """Hand the reply of a server to the actor, None when nothing listens there."""
 
@@ -124,6 +130,8 @@
             self._shards.on_log_gap(message.oldest_offset)
         elif isinstance(message, ConfigurationChanged):
             self._shards.on_configuration(message.view, clock.monotonic_ms())
+        elif isinstance(message, TableSeen):
+            self._shards.on_table(message.table, clock.monotonic_ms())
         elif isinstance(message, ServerReplied):
             self._shards.on_server_reply(message.event, clock.monotonic_ms())
 
--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -340,7 +340,8 @@
         elif incoming.kind == "log_relay_request":
             self._access.serve(incoming)
         elif incoming.kind == "owner_table":
-            self._owners.publish(incoming.message)
+            if self._owners.publish(incoming.message):
+                self._tell(control.TableSeen(incoming.message))
         else:
             self._tell(control.Received(incoming))
 
--- a/src/wasabivalve/entry/server_commands.py
+++ b/src/wasabivalve/entry/server_commands.py
@@ -110,6 +110,7 @@
                 int(row["end"]),
                 str(row.get("key", "")),
                 _token(row["token"]),
+                bool(row.get("draining", False)),
             )
             for row in document["held"]
         ),
--- a/src/wasabivalve/entry/shards.py
+++ b/src/wasabivalve/entry/shards.py
@@ -5,9 +5,17 @@
 from concurrent import futures
 from typing import Any, NamedTuple
 
-from wasabivalve import events, peers, platform_log, resources, routing
+from wasabivalve import (
+    events,
+    ownership,
+    peers,
+    platform_log,
+    resources,
+    routing,
+)
 from wasabivalve.ownership import controller, decisions, promises, replay
 from wasabivalve.routing import rendezvous
+from wasabivalve.schema import messages_generated
 
 from . import (
     balancer,
@@ -145,6 +153,15 @@
         if event.command.shard in self._controller_by_shard:
             self._handle(event.command.shard, event, now)
 
+    def on_table(self, table: messages_generated.OwnerTable, now: float) -> None:
+        """Let the controller follow a table that another one published."""
+        if table["shard"] in self._controller_by_shard:
+            generation = table["generation"]
+            token = ownership.Token(
+                generation["term"], generation["position"], generation["step"]
+            )
+            self._handle(table["shard"], decisions.TableSeen(token), now)
+
     def on_message(self, incoming: peers.Incoming, now: float) -> None:
         """Take in a message about promises or owner tables."""
         message = incoming.message
--- a/src/wasabivalve/stand_ins/ownership_codec.py
+++ b/src/wasabivalve/stand_ins/ownership_codec.py
@@ -25,6 +25,7 @@
     end: int
     key: NotRequired[str]
     token: NotRequired[TokenDocument]
+    draining: NotRequired[bool]
 
 
 class CommandDocument(TypedDict):
@@ -72,6 +73,7 @@
                 "end": held.end,
                 "key": held.key,
                 "token": _token_document(held.token),
+                "draining": held.draining,
             }
             for held in reply.held
         ],
