--- a/tools/demo.py
+++ b/tools/demo.py
@@ -19,6 +19,9 @@
 
 DEADLINE_MS = 3_000
 CALLERS = 12
+# Few keys, so that each is asked several times a second: the measured time without
+# service ends with the next request for the key.
+KEYS = 8
 # A key may be unavailable for 1 s after a loss; a caller notices up to two of its
 # own requests later.
 UNAVAILABLE_LIMIT_MS = 1_000.0
@@ -64,10 +67,12 @@
             self._stopping.wait(self._random.uniform(0.0, 0.03))
 
     def _send_one(self) -> Answer:
-        service = self._random.choice(self._fleet.shape.services)
+        services = self._fleet.shape.services
+        weights = [3 if service.divided_by_key else 1 for service in services]
+        service = self._random.choices(services, weights)[0]
         ranks = list(RANK_WEIGHTS)
         rank = self._random.choices(ranks, list(RANK_WEIGHTS.values()))[0]
-        key = f"lodge-{self._random.randrange(40)}" if service.divided_by_key else ""
+        key = f"lodge-{self._random.randrange(KEYS)}" if service.divided_by_key else ""
         method = self._random.choice(("GET", "GET", "POST"))
         identity = _uuid7(self._random)
         headers = {
