--- a/tools/key_load.py
+++ b/tools/key_load.py
@@ -68,7 +68,11 @@
     except urllib3.exceptions.HTTPError as error:
         return Answer(key, vm, CUT, "", sent, now_ms(), repr(error))
     ended = now_ms()
-    document = json.loads(response.data)
+    try:
+        document = json.loads(response.data)
+    except ValueError:
+        detail = f"{response.status} {dict(response.headers)} {response.data[:200]!r}"
+        return Answer(key, vm, CUT, "", sent, ended, detail)
     if response.headers.get("Content-Type") == "application/problem+json":
         kind = document["type"].rsplit(":", 1)[-1].replace("-", "_")
         return Answer(key, vm, kind, "", sent, ended, document.get("detail", ""))
