Answer whole while draining instead of with 500

Cause: the application set the header Connection, which waitress forbids to applications; each response of a draining VM became '500 Internal Server Error' although the request had run. Change: the channel of the front ends the connection after the response. Conclusion: one cause of cut requests at a planned stop is removed.

--- a/src/wasabivalve/entry/http_front.py
+++ b/src/wasabivalve/entry/http_front.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+import waitress.channel
 import waitress.server
+import waitress.task
 
 from wasabivalve import events, outcomes
 from wasabivalve.schema import settings_generated
@@ -55,6 +57,7 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
+        self._server.channel_class = _make_channel_class(lambda: self._draining)
         self._thread = threading.Thread(
             target=self._server.run, name="http-front", daemon=True
         )
@@ -88,7 +91,7 @@
         with self._idle:
             self._in_flight += 1
         try:
-            return self._answer(environ, self._closing_start(start_response))
+            return self._answer(environ, start_response)
         except Exception as error:
             # The request may have reached an upstream before the exception.
             events.emit(5, error=repr(error))
@@ -99,17 +102,6 @@
                 self._in_flight -= 1
                 self._idle.notify_all()
 
-    def _closing_start(
-        self, start_response: caller_request.StartResponse
-    ) -> caller_request.StartResponse:
-        if not self._draining:
-            return start_response
-
-        def start(status: str, headers: list[tuple[str, str]]) -> Any:
-            return start_response(status, [*headers, ("Connection", "close")])
-
-        return start
-
     def _answer(
         self, environ: dict[str, Any], start_response: caller_request.StartResponse
     ) -> list[bytes]:
@@ -138,3 +130,20 @@
             problem = caller_request.Problem(404, "not-run", f"no page {path!r}")
             return caller_request.write_problem(problem, start_response)
         return caller_request.write_json(document(), start_response)
+
+
+def _make_channel_class(is_draining: Callable[[], bool]) -> type:
+    """Return the class of connections that end after a response while draining."""
+
+    class ClosingTask(waitress.task.WSGITask):
+        def build_response_header(self) -> bytes:
+            if is_draining():
+                # An application must not set Connection itself; waitress answers
+                # as if the caller had asked for the end of the connection.
+                self.request.headers["CONNECTION"] = "close"
+            return bytes(super().build_response_header())
+
+    class ClosingChannel(waitress.channel.HTTPChannel):
+        task_class = ClosingTask
+
+    return ClosingChannel
--- a/src/wasabivalve/entry/tests/test_http_front.py
+++ b/src/wasabivalve/entry/tests/test_http_front.py
@@ -64,6 +64,22 @@
     assert seen[0].body == b"ab"
 
 
+def test_draining_front_answers_whole_and_ends_the_connection(front):
+    """A kept connection must get its response and then end, not an error."""
+    port = front._settings["callers"]["port"]
+    lines = ("GET /work HTTP/1.1", "Host: test", SERVICE, "", "")
+    assert front.drain(1_000.0)
+    with socket.create_connection(("127.0.0.1", port), 5) as connection:
+        connection.sendall("\r\n".join(lines).encode())
+        answer = b""
+        while part := connection.recv(65_536):
+            answer += part
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close" in head.lower()
+    assert body == b"whole"
+
+
 @pytest.mark.parametrize(
     ("lines", "body", "status"),
     [
