Stop waiting for a paused server or dispatcher once another is known

Cause: tests/test_process_failures.py showed reads held 1.5 s by a paused server (permits and reads lasted until the deadline) and about 1 s by a paused entry VM that was dispatcher. Change: a wait for a permit ends when the owner or the dispatcher changes; an idempotent attempt lasts at most twice its rank's target, 500 ms at least; a VM that missed a heartbeat is no dispatcher; silence waits for a new owner.

--- a/src/wasabivalve/entry/control.py
+++ b/src/wasabivalve/entry/control.py
@@ -21,6 +21,7 @@
 from . import clock, shards
 
 TICK_MS = 25.0
+DISPATCHER_SILENCE_MS = 550.0
 
 
 class Tick(NamedTuple):
@@ -316,11 +317,19 @@
 
 
 def place_by_live_vm(
-    settings: settings_generated.Settings, published: Published
+    settings: settings_generated.Settings, published: Published, now: float
 ) -> dict[str, routing.Place]:
-    """Return the places of the live VMs that are not draining."""
+    """Return the places of the VMs that may be dispatchers now.
+
+    A VM that has missed a heartbeat is left out long before it is suspected: two
+    dispatchers at a time do no harm, a paused one holds requests.
+    """
+    oldest = now - DISPATCHER_SILENCE_MS
+    heard_at = published.heard_at_by_vm
     return {
         vm: place
         for vm, place in places(settings).items()
-        if published.live_by_vm.get(vm) and vm not in published.draining_vms
+        if published.live_by_vm.get(vm)
+        and vm not in published.draining_vms
+        and heard_at.get(vm, now) >= oldest
     }
--- a/src/wasabivalve/entry/core.py
+++ b/src/wasabivalve/entry/core.py
@@ -316,7 +316,9 @@
         self._tell(control.ServerReplied(event))
 
     def _on_publish(self, published: control.Published) -> None:
-        self._places = control.place_by_live_vm(self._settings, published)
+        self._places = control.place_by_live_vm(
+            self._settings, published, clock.monotonic_ms()
+        )
         self._published = published
 
     def _on_message(self, incoming: peers.Incoming) -> None:
--- a/src/wasabivalve/entry/permits.py
+++ b/src/wasabivalve/entry/permits.py
@@ -1,7 +1,6 @@
 """Obtain permits from the dispatchers of instances."""
 
 import dataclasses
-import threading
 import uuid
 from collections.abc import Callable, Mapping
 from concurrent import futures
@@ -14,8 +13,9 @@
 
 # Travel time of both messages across regions, 2 * 20 ms, and a busy dispatcher.
 REPLY_MARGIN_MS = 150.0
-# Dispatchers tried before the request goes on without a permit.
 MOST_DISPATCHERS = 2
+# A waiting request looks this often whether its dispatcher or its owner has changed.
+CHECK_MS = 50.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +34,7 @@
 
     reason: str
     retry_after_ms: float
+    is_obsolete: bool = False
 
 
 class SlotDemand(NamedTuple):
@@ -66,16 +67,30 @@
         instance: dispatch.InstanceName,
         place: routing.Place,
         demand: SlotDemand,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> Permit | NoPermit:
-        """Return a permit, or the reason why there is none."""
-        order = routing.rank_dispatchers(str(instance), place, self._place_by_live_vm())
+        """Return a permit, or the reason why there is none.
+
+        The wait ends early when ``is_wanted`` returns false or the dispatcher is no
+        longer live; a paused dispatcher would otherwise hold the request.
+        """
         reason = "no dispatcher is live"
-        for dispatcher_vm in order[:MOST_DISPATCHERS]:
-            answer = self._ask(dispatcher_vm, instance, demand)
-            if isinstance(answer, Permit):
-                return answer
+        for _ in range(MOST_DISPATCHERS):
+            order = routing.rank_dispatchers(
+                str(instance), place, self._place_by_live_vm()
+            )
+            if not order:
+                break
+            dispatcher_vm = order[0]
+
+            def goes_on(vm: str = dispatcher_vm) -> bool:
+                return is_wanted() and vm in self._place_by_live_vm()
+
+            answer = self._ask(dispatcher_vm, instance, demand, goes_on)
             if answer is not None:
                 return answer
+            if not is_wanted():
+                return NoPermit("instance no longer owns the key", 0.0, True)
             reason = f"dispatcher {dispatcher_vm} did not reply"
         return NoPermit(reason, 0.0)
 
@@ -93,7 +108,11 @@
             self._bus.send(permit.dispatcher, "permit_release", message)
 
     def _ask(
-        self, dispatcher_vm: str, instance: dispatch.InstanceName, demand: SlotDemand
+        self,
+        dispatcher_vm: str,
+        instance: dispatch.InstanceName,
+        demand: SlotDemand,
+        goes_on: Callable[[], bool],
     ) -> Permit | NoPermit | None:
         now = clock.monotonic_ms()
         left_ms = demand.deadline_at - now
@@ -109,7 +128,7 @@
             "alone": demand.alone,
         }
         wait_ms = min(left_ms, demand.longest_wait_ms + REPLY_MARGIN_MS)
-        reply = self._exchange(dispatcher_vm, message, wait_ms)
+        reply = self._exchange(dispatcher_vm, message, wait_ms, goes_on)
         permit = Permit(
             message["permit_id"], instance, dispatcher_vm, clock.monotonic_ms()
         )
@@ -126,27 +145,23 @@
         dispatcher_vm: str,
         message: messages_generated.PermitRequest,
         wait_ms: float,
+        goes_on: Callable[[], bool],
     ) -> messages_generated.PermitReply | None:
         if dispatcher_vm == self._vm:
-            return self._exchange_locally(message, wait_ms)
-        future = self._bus.request(dispatcher_vm, "permit_request", message)
-        try:
-            reply: messages_generated.PermitReply = future.result(wait_ms / 1000)
-        except (futures.TimeoutError, peers.PeerLostError):
-            self._bus.forget(future)
+            future: futures.Future[messages_generated.PermitReply] = futures.Future()
+            self._dispatcher.request(message, future.set_result, clock.monotonic_ms())
+        else:
+            future = self._bus.request(dispatcher_vm, "permit_request", message)
+        ends_at = clock.monotonic_ms() + wait_ms
+        while True:
+            left_ms = ends_at - clock.monotonic_ms()
+            try:
+                return future.result(max(0.0, min(CHECK_MS, left_ms)) / 1000)
+            except peers.PeerLostError:
+                return None
+            except futures.TimeoutError:
+                if left_ms > 0 and goes_on():
+                    continue
+            if dispatcher_vm != self._vm:
+                self._bus.forget(future)
             return None
-        return reply
-
-    def _exchange_locally(
-        self, message: messages_generated.PermitRequest, wait_ms: float
-    ) -> messages_generated.PermitReply | None:
-        replies: list[messages_generated.PermitReply] = []
-        replied = threading.Event()
-
-        def reply(answer: messages_generated.PermitReply) -> None:
-            replies.append(answer)
-            replied.set()
-
-        self._dispatcher.request(message, reply, clock.monotonic_ms())
-        replied.wait(wait_ms / 1000)
-        return replies[0] if replies else None
--- a/src/wasabivalve/entry/request_path.py
+++ b/src/wasabivalve/entry/request_path.py
@@ -22,7 +22,9 @@
 )
 
 # Longest wait for another owner before the table is looked at again.
-OWNER_WAIT_MS = 50.0
+OWNER_WAIT_MS = 15.0
+SILENT_OWNER_WAIT_MS = 400.0
+SHORTEST_ATTEMPT_MS = 500.0
 # A suspected request asks again after this time; the rerun of another VM may have
 # cleared it.
 SHORTEST_HOLD_MS = 5.0
@@ -158,13 +160,14 @@
     ) -> bool:
         """Return whether to hold a request of a divided service for another owner.
 
-        Nothing was run, so the owner table decides about the next attempt and not
-        the retry budget, which a lost server would use up at once.
+        Nothing was run or it may run again, so the owner table decides about the
+        next attempt and not the retry budget, which a lost server would use up.
         """
         if not prepared.service.divided_by_key:
             return False
-        not_run = isinstance(attempt.outcome, outcomes.NotRun)
-        moved = attempt.stale_owner or (not_run and attempt.crashed)
+        may_repeat = prepared.idempotent or isinstance(attempt.outcome, outcomes.NotRun)
+        lost = attempt.crashed or attempt.silent
+        moved = attempt.stale_owner or (may_repeat and lost)
         return moved and clock.monotonic_ms() < prepared.hold_until
 
     def _attempt(self, prepared: Prepared) -> upstream_client.Attempt:
@@ -174,17 +177,32 @@
         name = dispatch.InstanceName(prepared.service.name, route.instance.name)
         alone = self._parts.guard.is_suspected(prepared.fingerprint)
         permit = self._parts.permits.acquire(
-            name, self.place(route.instance.data_centre), _demand(prepared, alone)
+            name,
+            self.place(route.instance.data_centre),
+            _demand(prepared, alone),
+            lambda: self._is_current(prepared, route),
         )
         if isinstance(permit, permits.NoPermit):
+            if permit.is_obsolete:
+                return _held(permit.reason, 0.0)
             return _not_run(permit.reason, permit.retry_after_ms)
         attempt = self._send_if_admitted(prepared, route, str(name), alone)
         done = isinstance(attempt.outcome, outcomes.Done)
         self._parts.permits.release(permit, "done" if done else "failed")
         if self._waits_for_owner(prepared, attempt):
-            self._wait_for_owner(prepared, route.table)
+            # Silence tells less than a refusal: the server may only be slow.
+            wait_ms = SILENT_OWNER_WAIT_MS if attempt.silent else OWNER_WAIT_MS
+            self._wait_for_owner(prepared, route.table, wait_ms)
         return attempt
 
+    def _is_current(self, prepared: Prepared, route: Route) -> bool:
+        """Return whether the owner tables still name the instance of a route."""
+        table = self._parts.owners.find(shard_of(prepared.service.name))
+        if route.table is None or table is route.table or table is None:
+            return True
+        owner = table.owner_of(prepared.request.key)
+        return owner is not None and owner.server == route.instance.name
+
     def _send_if_admitted(
         self, prepared: Prepared, route: Route, name: str, alone: bool
     ) -> upstream_client.Attempt:
@@ -225,7 +243,7 @@
                 request.body,
                 uuid.uuid4().hex,
                 route.token,
-                max(1.0, prepared.deadline_at - clock.monotonic_ms()),
+                _attempt_limit_ms(prepared),
             )
         )
         self._observations.on_finish(
@@ -253,14 +271,17 @@
                         return Route(instance, token, table)
             if clock.monotonic_ms() >= prepared.hold_until:
                 return None
-            self._wait_for_owner(prepared, table)
+            self._wait_for_owner(prepared, table, OWNER_WAIT_MS)
 
     def _wait_for_owner(
-        self, prepared: Prepared, seen: routing.OwnerTable | None
+        self,
+        prepared: Prepared,
+        seen: routing.OwnerTable | None,
+        longest_ms: float,
     ) -> None:
         left_ms = prepared.deadline_at - clock.monotonic_ms()
         self._parts.owners.wait_for_change(
-            shard_of(prepared.service.name), seen, min(OWNER_WAIT_MS, max(0.0, left_ms))
+            shard_of(prepared.service.name), seen, min(longest_ms, max(0.0, left_ms))
         )
 
     def _route_to_any(self, prepared: Prepared) -> Route | None:
@@ -301,6 +322,19 @@
     return f"{service}/0"
 
 
+def _attempt_limit_ms(prepared: Prepared) -> float:
+    """Return the time for one attempt in ms.
+
+    An idempotent request does not wait for its deadline on a connection or a
+    server that went silent; it has time for another attempt.
+    """
+    left_ms = max(1.0, prepared.deadline_at - clock.monotonic_ms())
+    if not prepared.idempotent:
+        return left_ms
+    usual_ms = max(SHORTEST_ATTEMPT_MS, 2.0 * prepared.rank.target_ms)
+    return min(left_ms, usual_ms)
+
+
 def _find_rank(view: resources.View, name: str) -> resources.Rank | None:
     if name:
         return view.rank_by_name.get(name)
--- a/src/wasabivalve/entry/tests/test_request_path.py
+++ b/src/wasabivalve/entry/tests/test_request_path.py
@@ -47,7 +47,7 @@
         self.granted = granted
         self.released = []
 
-    def acquire(self, instance, place, demand):
+    def acquire(self, instance, place, demand, is_wanted):
         if not self.granted:
             return permits.NoPermit("deadline", 0.0)
         return permits.Permit("p", instance, "entry-1", 0.0)
