Take a single sample without service as a breach of a zero bound

Cause: a bound of 0 ms passed one unserved sample of 20 ms. Change: compare the gap with the bound itself. Conclusion: a bound of 0 ms is now checked to one sample.

--- a/src/wasabivalve/ownership/tests/ownership_faults.py
+++ b/src/wasabivalve/ownership/tests/ownership_faults.py
@@ -658,7 +658,7 @@
                 world.work()
             over = not self.left and world.real >= self.fault_ends_at
             if bound != Bound():
-                self.check_bound(bound, sample_ms)
+                self.check_bound(bound)
             if not over or world.unserved(world.vm_names):
                 served_since = world.real
             if over and world.real > self.fault_ends_at + ownership_schedules.HEAL_MS:
@@ -680,7 +680,7 @@
             found[key] = item.servers
         return found
 
-    def check_bound(self, bound, sample_ms):
+    def check_bound(self, bound):
         world = self.world
         late = world.real - self.lost_at
         is_late = bound.after_loss_ms is not None and late > bound.after_loss_ms
@@ -694,7 +694,7 @@
                 continue
             self.gap_by_key[key] = since
             gap = world.real - since
-            if bound.gap_ms is not None and gap >= max(bound.gap_ms, sample_ms):
+            if bound.gap_ms is not None and gap >= bound.gap_ms:
                 raise Broken(f"{key} not served for {gap:.0f} ms")
         if unserved and not self.left and is_late:
             lists = self.lists(world.unaffected())
