Use one classification, one request digest and one region lookup

Cause: the read-through found each of them written twice in the entry process. Change: the upstream client calls retries.classify, which now also takes 409 with Wasabivalve-Run: no; deduplication and quarantine share one digest. Conclusion: what proves 'not run' stands in one place.

--- a/src/wasabivalve/entry/caller_request.py
+++ b/src/wasabivalve/entry/caller_request.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NamedTuple
 
+import xxhash
+
 from wasabivalve import outcomes
 
 SERVICE_HEADER = "HTTP_WASABIVALVE_SERVICE"
@@ -48,6 +50,15 @@
     idempotency_key: str
 
 
+def digest(request: CallerRequest) -> str:
+    """Return a digest that is the same when a caller sends a request again."""
+    parts = (request.service, request.key, request.method, request.target)
+    state = xxhash.xxh3_128("\x00".join(parts).encode())
+    state.update(b"\x00")
+    state.update(request.body)
+    return state.hexdigest()
+
+
 class Problem(NamedTuple):
     """Describe an answer of the system's own, as RFC 9457 does."""
 
--- a/src/wasabivalve/entry/control.py
+++ b/src/wasabivalve/entry/control.py
@@ -15,6 +15,7 @@
     resources,
     routing,
 )
+from wasabivalve import settings as core_settings
 from wasabivalve.ownership import decisions
 from wasabivalve.schema import messages_generated, settings_generated
 
@@ -303,11 +304,7 @@
 
 def places(settings: settings_generated.Settings) -> dict[str, routing.Place]:
     """Return the places of all declared entry VMs, this one included."""
-    region_by_data_centre = {
-        data_centre: region
-        for region, names in settings["regions"].items()
-        for data_centre in names
-    }
+    region_by_data_centre = core_settings.region_by_data_centre(settings)
     data_centre_by_vm = {peer["vm"]: peer["data_centre"] for peer in settings["peers"]}
     data_centre_by_vm[settings["vm"]] = settings["data_centre"]
     return {
--- a/src/wasabivalve/entry/crash_guard.py
+++ b/src/wasabivalve/entry/crash_guard.py
@@ -4,12 +4,10 @@
 import threading
 from collections.abc import Callable, Iterable, Sequence
 
-import xxhash
-
 from wasabivalve import events, peers, quarantine
 from wasabivalve.schema import messages_generated
 
-from . import caller_request, clock
+from . import clock
 
 
 class CrashGuard:
@@ -88,12 +86,3 @@
             if notice["quarantined"]:
                 events.emit(401, fingerprint=notice["fingerprint"])
             self._bus.broadcast("quarantine_notice", notice)
-
-
-def fingerprint_of(request: caller_request.CallerRequest) -> str:
-    """Return a digest that is the same when a caller sends a request again."""
-    parts = (request.service, request.method, request.target, request.key)
-    digest = xxhash.xxh3_128("\x00".join(parts).encode())
-    digest.update(b"\x00")
-    digest.update(request.body)
-    return digest.hexdigest()
--- a/src/wasabivalve/entry/deduplicator.py
+++ b/src/wasabivalve/entry/deduplicator.py
@@ -6,8 +6,6 @@
 from concurrent import futures
 from typing import NamedTuple
 
-import xxhash
-
 from wasabivalve import deduplication, outcomes, peers, routing
 from wasabivalve.schema import messages_generated
 
@@ -64,7 +62,7 @@
             )
         message: messages_generated.ReserveRequest = {
             "key": key,
-            "body_digest": digest_of(request),
+            "body_digest": caller_request.digest(request),
             "first_sent_at_ms": first_sent_at_ms,
             "vm": self._vm,
             "attempt": attempt,
@@ -148,15 +146,6 @@
             self._bus.send(holder, "record_answer", message)
 
 
-def digest_of(request: caller_request.CallerRequest) -> str:
-    """Return a digest of everything that makes two requests the same work."""
-    parts = (request.service, request.key, request.method, request.target)
-    digest = xxhash.xxh3_128("\x00".join(parts).encode())
-    digest.update(b"\x00")
-    digest.update(request.body)
-    return digest.hexdigest()
-
-
 def view_of(
     place_by_vm: dict[str, routing.Place], mutual_vms: frozenset[str]
 ) -> deduplication.View:
--- a/src/wasabivalve/entry/request_path.py
+++ b/src/wasabivalve/entry/request_path.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from wasabivalve import outcomes, resources, retries, routing
+from wasabivalve import outcomes, resources, retries, routing, settings
 from wasabivalve.schema import settings_generated
 
 from . import (
@@ -74,11 +74,7 @@
         self._budget_by_rank: dict[str, retries.RetryBudget] = collections.defaultdict(
             retries.RetryBudget
         )
-        self._region_by_data_centre = {
-            data_centre: region
-            for region, names in parts.settings["regions"].items()
-            for data_centre in names
-        }
+        self._region_by_data_centre = settings.region_by_data_centre(parts.settings)
         self._origin = self.place(parts.settings["data_centre"])
 
     def place(self, data_centre: str) -> routing.Place:
@@ -120,7 +116,7 @@
             idempotent,
             deadline_at,
             hold_until,
-            crash_guard.fingerprint_of(request),
+            caller_request.digest(request),
         )
 
     def run(self, prepared: Prepared) -> outcomes.Outcome:
--- a/src/wasabivalve/entry/upstream_client.py
+++ b/src/wasabivalve/entry/upstream_client.py
@@ -2,22 +2,28 @@
 
 import threading
 import time
-from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 import urllib3
 import urllib3.connection
 import urllib3.exceptions
 
-from wasabivalve import events, outcomes
+from wasabivalve import events, outcomes, retries
 
 # A connection idle for longer may have gone silent; a new one costs about 1 ms.
 MAXIMUM_IDLE_MS = 1_000.0
 CONNECT_TIMEOUT_MS = 250.0
 REQUEST_ID_HEADER = "Wasabivalve-Request-Id"
-RUN_HEADER = "Wasabivalve-Run"
 TOKEN_HEADER = "Wasabivalve-Token"
 DEADLINE_HEADER = "Wasabivalve-Deadline-Ms"
+# The server did not own the key, at the start or at the commit.
+OWNER_STATUSES = (409, 421)
+# Raised before the first byte of a request is written.
+UNSENT_ERRORS = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.EmptyPoolError,
+)
 
 
 class Address(NamedTuple):
@@ -167,46 +173,34 @@
     duration_ms: float,
 ) -> Attempt:
     echoed = response.headers.get(REQUEST_ID_HEADER, request.request_id)
-    if echoed != request.request_id:
-        reason = f"answer belongs to request {echoed}"
-        return Attempt(outcomes.Unknown(reason), duration_ms)
-    if states_not_run(response.status, response.headers):
-        retry_after_ms = _retry_after_ms(response.headers)
-        reason = f"upstream answered {response.status} and did not run the request"
-        outcome = outcomes.NotRun(reason, retry_after_ms)
-        return Attempt(outcome, duration_ms, stale_owner=response.status in (409, 421))
-    headers = tuple((name, value) for name, value in response.headers.items())
-    return Attempt(outcomes.Done(response.status, headers, body), duration_ms)
-
-
-def states_not_run(status: int, headers: Mapping[str, str]) -> bool:
-    """Return whether an upstream's answer proves that it did not run the request."""
-    if status == 421:
-        return True
-    return status in (409, 429, 503) and headers.get(RUN_HEADER) == "no"
+    outcome = retries.classify(
+        retries.UpstreamResponse(
+            response.status,
+            tuple(response.headers.items()),
+            body,
+            matches=echoed == request.request_id,
+        )
+    )
+    refused = isinstance(outcome, outcomes.NotRun)
+    stale_owner = refused and response.status in OWNER_STATUSES
+    return Attempt(outcome, duration_ms, stale_owner=stale_owner)
 
 
 def _failed(
     pool: _FreshPool, error: urllib3.exceptions.HTTPError, started: float
 ) -> Attempt:
     duration_ms = _elapsed_ms(started)
-    if isinstance(
-        error,
-        urllib3.exceptions.NewConnectionError
-        | urllib3.exceptions.ConnectTimeoutError
-        | urllib3.exceptions.EmptyPoolError,
-    ):
-        crashed = isinstance(error, urllib3.exceptions.NewConnectionError)
-        reason = f"no byte was sent: {type(error).__name__}"
-        return Attempt(outcomes.NotRun(reason), duration_ms, crashed=crashed)
+    unsent = isinstance(error, UNSENT_ERRORS)
+    failure = retries.TransportFailure(type(error).__name__, not unsent)
     silent = isinstance(error, urllib3.exceptions.ReadTimeoutError)
     if silent:
         # Connections of the same age share the fault that silenced this one.
         pool.distrusted_before = time.monotonic()
         events.emit(402, host=pool.host, port=pool.port)
-    reason = f"answer did not arrive whole: {type(error).__name__}"
+    refused = isinstance(error, urllib3.exceptions.NewConnectionError)
+    crashed = refused or not (unsent or silent)
     return Attempt(
-        outcomes.Unknown(reason), duration_ms, crashed=not silent, silent=silent
+        retries.classify(failure), duration_ms, crashed=crashed, silent=silent
     )
 
 
@@ -224,13 +218,5 @@
     return urllib3.Timeout(connect=connect_ms / 1000, read=timeout_ms / 1000)
 
 
-def _retry_after_ms(headers: Mapping[str, str]) -> float:
-    text = headers.get("Retry-After", "")
-    return float(text) * 1000 if text.isdigit() else 0.0
-
-
 def _elapsed_ms(started: float) -> float:
     return (time.monotonic() - started) * 1000
-
-
-Send = Callable[[UpstreamRequest], Attempt]
--- a/src/wasabivalve/retries/classification.py
+++ b/src/wasabivalve/retries/classification.py
@@ -8,8 +8,11 @@
 MISDIRECTED = 421
 """The server refused the token or had no lease; always sent before a run."""
 
-SHEDDING_STATUSES = frozenset({429, 503})
-"""Statuses that prove "not run" together with ``Wasabivalve-Run: no``."""
+REFUSING_STATUSES = frozenset({409, 429, 503})
+"""Statuses that prove "not run" together with ``Wasabivalve-Run: no``.
+
+A server answers 409 when its lease ended before the commit.
+"""
 
 NOT_CONNECTED = "not_connected"
 CUT_OFF = "cut_off"
@@ -62,7 +65,7 @@
     values = _header_values(response, RUN_HEADER)
     # Contradicting headers prove nothing.
     said_no = bool(values) and all(value.lower() == "no" for value in values)
-    return response.status in SHEDDING_STATUSES and said_no
+    return response.status in REFUSING_STATUSES and said_no
 
 
 def _retry_after_ms(response: UpstreamResponse) -> float:
--- a/src/wasabivalve/settings/core.py
+++ b/src/wasabivalve/settings/core.py
@@ -63,6 +63,17 @@
     return msgspec.convert(merged, settings_generated.Settings)
 
 
+def region_by_data_centre(
+    settings: settings_generated.Settings,
+) -> dict[str, str]:
+    """Return the region of each data centre."""
+    return {
+        data_centre: region
+        for region, names in settings["regions"].items()
+        for data_centre in names
+    }
+
+
 def check(document: Any, file: str) -> tuple[outcomes.Finding, ...]:
     """Return every finding of a settings document."""
     findings = check_document(document, schema.load_schema("settings"), file)
