Rerun suspects in short turns and report reruns that prove nothing

Change: VMs may rerun in turns of 50 ms by rank; the end of a rerun without proof is broadcast; a silent rerun holds others for 5 s.

--- a/src/wasabivalve/entry/crash_guard.py
+++ b/src/wasabivalve/entry/crash_guard.py
@@ -51,7 +51,7 @@
             elif alone and done:
                 notices = self._record.on_finish(fingerprint, now)
             elif alone:
-                self._record.abandon(fingerprint, now)
+                notices = self._record.abandon(fingerprint, now)
             in_flight[fingerprint] -= 1
             if not in_flight[fingerprint]:
                 del in_flight[fingerprint]
--- a/src/wasabivalve/quarantine/core.py
+++ b/src/wasabivalve/quarantine/core.py
@@ -20,14 +20,16 @@
 SAME_CRASH_MS = 1_000.0
 """Crashes of one instance that are closer than this are the same crash."""
 
-OWNER_MS = 5_000.0
-"""Time for which one VM alone may rerun a suspect, before the next VM may."""
+TURN_MS = 50.0
+"""Time after which the next VM in line may rerun a suspect.
 
-GUARD_MS = 500.0
-"""Part at both ends of that time in which no rerun starts, as clocks differ."""
+It is longer than a one-way latency between regions (20 ms), so that the notice of one
+rerun arrives before the next VM's turn. A longer one would keep innocent requests of
+a lost server waiting.
+"""
 
-RERUN_MS = 15_000.0
-"""Time for which a rerun holds back all others; longer than any request."""
+RERUN_MS = 5_000.0
+"""Time for which a rerun holds back all others unless its VM reports the end."""
 
 RETRY_AFTER_MS = 100.0
 """Time after which a held request asks again.
@@ -60,14 +62,17 @@
 class _Suspect:
     def __init__(self, now: float) -> None:
         self.crashes: list[_Crash] = []
-        self.claimants: set[str] = set()
         self.settled_at = now + SETTLE_MS
-        self.held_until = now + OWNER_MS
         self.rerun_by: str | None = None
         self.rerun_started = -math.inf
         self.convicted = False
         self.expires_at = now + QUARANTINE_MS
 
+    def end_rerun(self) -> None:
+        """Let a VM rerun the suspect again."""
+        self.rerun_by = None
+        self.rerun_started = -math.inf
+
 
 class CrashRecord:
     """Hold the suspects and convicted fingerprints that one entry VM knows.
@@ -116,7 +121,7 @@
             return Admission("wait", suspect.settled_at - now)
         if now - suspect.rerun_started < RERUN_MS:
             return Admission("wait", RETRY_AFTER_MS)
-        if self._owner(fingerprint, suspect, live_vms, now) != self._vm:
+        if not self._may_rerun(fingerprint, suspect, live_vms, now):
             return Admission("wait", RETRY_AFTER_MS)
         suspect.rerun_by = self._vm
         suspect.rerun_started = now
@@ -133,7 +138,7 @@
         for fingerprint in dict.fromkeys(fingerprints):
             before = self._get(fingerprint, now)
             alone = before is not None and before.rerun_by == self._vm
-            suspect = self._add(fingerprint, self._vm, instance, now)
+            suspect = self._add(fingerprint, instance, now)
             if alone:
                 self._convict(suspect, now)
             notices.append(self._notice(fingerprint, suspect, now, instance))
@@ -149,12 +154,16 @@
         del self._suspect_by_fingerprint[fingerprint]
         return (_message(fingerprint, 0, False, 0.0, ""),)
 
-    def abandon(self, fingerprint: str, now: float) -> None:
+    def abandon(
+        self, fingerprint: str, now: float
+    ) -> tuple[messages_generated.QuarantineNotice, ...]:
         """End a rerun that proved nothing, such as one that was not run."""
         suspect = self._get(fingerprint, now)
-        if suspect is not None and suspect.rerun_by == self._vm:
-            suspect.rerun_by = None
-            suspect.rerun_started = -math.inf
+        if suspect is None or suspect.convicted or suspect.rerun_by != self._vm:
+            return ()
+        suspect.end_rerun()
+        # No time left means that the rerun ended without proof.
+        return (_message(fingerprint, 1, False, 0.0, ""),)
 
     def on_notice(
         self,
@@ -177,11 +186,13 @@
             if known is not None and not known.convicted:
                 del self._suspect_by_fingerprint[fingerprint]
         elif notice["instance"]:
-            self._add(fingerprint, sender, notice["instance"], now)
-        else:
+            self._add(fingerprint, notice["instance"], now)
+        elif notice["remaining_ms"] > 0.0:
             suspect = known or self._new(fingerprint, now)
             suspect.rerun_by = sender
             suspect.rerun_started = now
+        elif known is not None and known.rerun_by == sender:
+            known.end_rerun()
 
     def expire(self, now: float) -> None:
         """Drop fingerprints whose time is over."""
@@ -202,9 +213,7 @@
             self._judge(fingerprint, suspect, now)
         return suspect
 
-    def _add(
-        self, fingerprint: str, claimant: str, instance: str, now: float
-    ) -> _Suspect:
+    def _add(self, fingerprint: str, instance: str, now: float) -> _Suspect:
         suspect = self._suspect_by_fingerprint.get(fingerprint)
         suspect = suspect or self._new(fingerprint, now)
         crash = self._crash_by_instance.get(instance)
@@ -212,7 +221,6 @@
             crash = _Crash(instance, now, set())
             self._crash_by_instance[instance] = crash
         crash.suspects.add(fingerprint)
-        suspect.claimants.add(claimant)
         if not any(known is crash for known in suspect.crashes):
             suspect.crashes.append(crash)
             suspect.settled_at = now + SETTLE_MS
@@ -249,17 +257,12 @@
         suspect.convicted = True
         suspect.expires_at = now + QUARANTINE_MS
 
-    def _owner(
+    def _may_rerun(
         self, fingerprint: str, suspect: _Suspect, live: Collection[str], now: float
-    ) -> str | None:
-        if now < suspect.held_until - GUARD_MS:
-            claimants = suspect.claimants.intersection(live)
-            return next(iter(rendezvous.rank_names(fingerprint, claimants)), None)
-        turn, elapsed = divmod(now - suspect.held_until, OWNER_MS)
-        if turn < 0 or not GUARD_MS <= elapsed < OWNER_MS - GUARD_MS:
-            return None
-        ranked = rendezvous.rank_names(fingerprint, live)
-        return ranked[int(turn) % len(ranked)] if ranked else None
+    ) -> bool:
+        ranked = rendezvous.rank_names(fingerprint, {*live, self._vm})
+        turn = ranked.index(self._vm)
+        return now >= suspect.settled_at + turn * TURN_MS
 
     def _notice(
         self, fingerprint: str, suspect: _Suspect, now: float, instance: str = ""
