Wait 50 ms for another owner after a refusal, 15 ms after a stale token

Cause: requests of a lost server tried again every 15 ms on all VMs. Change: the short wait stays for a new owner whose grant is on its way.

--- a/src/wasabivalve/entry/request_path.py
+++ b/src/wasabivalve/entry/request_path.py
@@ -22,7 +22,9 @@
 )
 
 # Longest wait for another owner before the table is looked at again.
-OWNER_WAIT_MS = 15.0
+OWNER_WAIT_MS = 50.0
+# The new owner is known but has not received its grant yet.
+STALE_OWNER_WAIT_MS = 15.0
 SILENT_OWNER_WAIT_MS = 400.0
 SHORTEST_ATTEMPT_MS = 500.0
 # A suspected request asks again after this time; the rerun of another VM may have
@@ -186,9 +188,7 @@
         done = isinstance(attempt.outcome, outcomes.Done)
         self._parts.permits.release(permit, "done" if done else "failed")
         if self._waits_for_owner(prepared, attempt):
-            # Silence tells less than a refusal: the server may only be slow.
-            wait_ms = SILENT_OWNER_WAIT_MS if attempt.silent else OWNER_WAIT_MS
-            self._wait_for_owner(prepared, route.table, wait_ms)
+            self._wait_for_owner(prepared, route.table, _owner_wait_ms(attempt))
         return attempt
 
     def _is_current(self, prepared: Prepared, route: Route) -> bool:
@@ -318,6 +318,14 @@
     return f"{service}/0"
 
 
+def _owner_wait_ms(attempt: upstream_client.Attempt) -> float:
+    """Return how long to wait for another owner before the next attempt, in ms."""
+    if attempt.stale_owner:
+        return STALE_OWNER_WAIT_MS
+    # Silence tells less than a refusal: the server may only be slow.
+    return SILENT_OWNER_WAIT_MS if attempt.silent else OWNER_WAIT_MS
+
+
 def _attempt_limit_ms(prepared: Prepared) -> float:
     """Return the time for one attempt in ms.
 
