Wait for queued requests and unsent answers before the front closes

Cause: a trial of a rolling stop logged 'Canceling 4 pending task(s)' and a write to a closed descriptor: requests that were read but not begun were cut. Change: a drain ends only when no request is queued, running or unsent for three polls; the threads end before the server's descriptors close. Conclusion: callers that follow readiness lose nothing (process test); one that ignores it may still be cut at the very end.

--- a/src/wasabivalve/entry/http_front.py
+++ b/src/wasabivalve/entry/http_front.py
@@ -1,6 +1,7 @@
 """Serve callers over HTTP."""
 
 import threading
+import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -11,12 +12,15 @@
 from wasabivalve import events, outcomes
 from wasabivalve.schema import settings_generated
 
-from . import caller_request
+from . import caller_request, clock
 
 # An idle or slow sender holds no thread, only a connection, for this long.
 CHANNEL_TIMEOUT_S = 30
 CONNECTION_LIMIT = 2_000
 OWN_PREFIX = "/-/"
+# A drain ends after this many polls in a row without a request.
+QUIET_POLLS = 3
+POLL_S = 0.02
 
 Serve = Callable[
     [caller_request.CallerRequest], outcomes.Outcome | caller_request.Problem
@@ -40,7 +44,7 @@
         self._is_ready = is_ready
         self._draining = False
         self._in_flight = 0
-        self._idle = threading.Condition()
+        self._lock = threading.Lock()
 
     def start(self) -> None:
         """Listen and start the thread; raise OSError when the port is taken."""
@@ -64,18 +68,33 @@
         self._thread.start()
 
     def drain(self, timeout_ms: float) -> bool:
-        """Tell the balancer to leave and wait until no request is in flight.
+        """Tell the balancer to leave and wait until no request is left.
 
-        Requests that still arrive are served, with ``Connection: close``.
+        Requests that still arrive are served, with ``Connection: close``. A request
+        counts from the time it was read, and until its answer has left.
         """
         self._draining = True
-        with self._idle:
-            return self._idle.wait_for(lambda: self._in_flight == 0, timeout_ms / 1000)
+        ends_at = clock.monotonic_ms() + timeout_ms
+        quiet_polls = 0
+        while clock.monotonic_ms() < ends_at:
+            quiet_polls = 0 if self._is_busy() else quiet_polls + 1
+            if quiet_polls >= QUIET_POLLS:
+                return True
+            time.sleep(POLL_S)
+        return False
 
     def close(self) -> None:
         """Stop listening and end the threads."""
-        self._server.close()
+        # The threads wake the server's loop when they end, so they end first.
         self._server.task_dispatcher.shutdown()
+        self._server.close()
+
+    def _is_busy(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        unsent = any(
+            channel.requests or channel.total_outbufs_len for channel in channels
+        )
+        return bool(self._in_flight or self._server.task_dispatcher.queue or unsent)
 
     @property
     def in_flight(self) -> int:
@@ -88,7 +107,7 @@
         path = environ["PATH_INFO"]
         if path.startswith(OWN_PREFIX):
             return self._answer_own(path, start_response)
-        with self._idle:
+        with self._lock:
             self._in_flight += 1
         try:
             return self._answer(environ, start_response)
@@ -98,9 +117,8 @@
             problem = caller_request.Problem(500, "unknown", "internal error")
             return caller_request.write_problem(problem, start_response)
         finally:
-            with self._idle:
+            with self._lock:
                 self._in_flight -= 1
-                self._idle.notify_all()
 
     def _answer(
         self, environ: dict[str, Any], start_response: caller_request.StartResponse
