--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -7,6 +7,8 @@
     (3, "INFO", "entry process stopped"),
     (4, "ERROR", "settings were rejected"),
     (5, "ERROR", "unexpected exception"),
+    (6, "INFO", "settings were read again"),
+    (7, "WARNING", "log lines were left out"),
     # Peers, 100 to 199.
     (100, "WARNING", "message from a peer was dropped"),
     (101, "INFO", "peer is live"),
@@ -22,12 +24,27 @@
     (302, "INFO", "owner of a range changed"),
     (303, "WARNING", "server is suspected"),
     (304, "INFO", "term was claimed"),
+    (310, "INFO", "this VM was named controller of keys"),
+    (311, "WARNING", "this VM stopped controlling keys"),
+    (312, "INFO", "claim of a term was not confirmed"),
+    (313, "WARNING", "grant was not confirmed"),
+    # Instances, 320 to 349.
+    (320, "INFO", "instances were listed"),
+    (321, "INFO", "instance joined or changed"),
+    (322, "INFO", "instance is gone"),
+    (323, "WARNING", "entry of an instance was ignored"),
     # Requests, 400 to 499.
     (400, "WARNING", "answer of an upstream was cut off"),
     (401, "WARNING", "request was quarantined"),
     (402, "WARNING", "connection to an upstream went silent"),
+    (410, "WARNING", "request was refused for lack of state"),
+    (411, "INFO", "request matches no route"),
+    (412, "INFO", "caller left before its answer"),
+    (413, "WARNING", "request failed or was refused"),
+    (420, "INFO", "request was answered"),
     # Configuration, 500 to 599.
     (500, "INFO", "configuration is in force"),
     (501, "WARNING", "no configuration is proved; traffic is refused"),
     (502, "INFO", "drain is complete"),
+    (503, "ERROR", "desired state was ignored"),
 )
--- a/src/wasabivalve/events/core.py
+++ b/src/wasabivalve/events/core.py
@@ -1,11 +1,12 @@
 """Emit log events whose numbers and texts the catalogue lists."""
 
 import sys
+import time
 from typing import Any, NamedTuple
 
 import loguru
 
-from . import catalogue
+from . import catalogue, stream
 
 
 class Event(NamedTuple):
@@ -30,6 +31,16 @@
     )
 
 
+def configure_stream(descriptor: int, level: str = "INFO") -> None:
+    """Write log events to a descriptor without ever waiting for its reader."""
+    loguru.logger.remove()
+    loguru.logger.add(
+        stream.BoundedStream(descriptor, time.monotonic),
+        level=level,
+        format="{time:HH:mm:ss.SSS} {level} {message}",
+    )
+
+
 def emit(number: int, **fields: Any) -> None:
     """Log the event with this number and these fields."""
     event = EVENT_BY_NUMBER[number]
--- /dev/null
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -0,0 +1,265 @@
+"""Read the requests of one caller's connection and write their answers."""
+
+import asyncio
+import math
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import httptools
+
+from wasabivalve.desired_state import core as desired_state
+
+from . import messages
+
+MOST_PIPELINED = 16
+"""Requests read ahead of the one in work; reading then pauses."""
+
+DEFAULT_LIMITS = desired_state.CallerLimits(16_384, 67_108_864, 5_000.0, 15_000.0)
+"""Limits until the first desired state is known."""
+
+IDLE_MARGIN_S = 1.0
+"""Time beyond the announced idle limit, so that no request crosses the close."""
+
+Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
+
+
+class Front(Protocol):
+    """Tell a connection how to serve; implemented by the gateway."""
+
+    stopping: bool
+
+    def limits(self) -> desired_state.CallerLimits:
+        """Return the limits in force."""
+
+    async def handle(self, request: messages.Request) -> messages.Answer:
+        """Return the answer to a request."""
+
+    def on_open(self, connection: "CallerConnection") -> None:
+        """Note an open connection."""
+
+    def on_closed(self, connection: "CallerConnection") -> None:
+        """Note a closed connection."""
+
+
+class CallerConnection(asyncio.Protocol):
+    """Serve the requests of a connection one after the other."""
+
+    def __init__(self, front: Front) -> None:
+        self._front = front
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._queue: deque[messages.Request] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._paused = False
+        self._closing = False
+        self._promised_idle_s = math.inf
+        self._timer: asyncio.TimerHandle | None = None
+        self._reading = False
+        self._reset_message()
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being read or served."""
+        return self._reading or self._task is not None or bool(self._queue)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the idle limit."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._front.on_open(self)
+        self._start_idle()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request that is being served."""
+        self._closing = True
+        self._stop_timer()
+        self._queue.clear()
+        if self._task is not None:
+            self._task.cancel()
+        self._front.on_closed(self)
+
+    def eof_received(self) -> bool:
+        """Close; a caller that ends its side takes no answer."""
+        return False
+
+    def close(self) -> None:
+        """Close the connection, once idle or at once."""
+        self._closing = True
+        self._stop_timer()
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close the connection without waiting for unsent bytes."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._closing:
+            return
+        if not self._reading:
+            self._reading = True
+            self._header_bytes = 0
+            self._start_header_limit()
+        if not self._headers_done:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "upgrade is not supported")
+        except httptools.HttpParserError as error:
+            self._refuse(400, f"not an HTTP request: {error}")
+        limit = self._front.limits().header_bytes
+        if not self._headers_done and self._header_bytes > limit:
+            self._refuse(431, f"header is larger than {limit} bytes")
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reading = True
+        self._reset_message()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name.lower(), value.strip()))
+
+    def on_headers_complete(self) -> None:
+        """Check the size of the body and ask for it where the caller waits."""
+        self._headers_done = True
+        self._stop_timer()
+        self._start_body_limit()
+        limit = self._front.limits().body_bytes
+        for name, value in self._headers:
+            if name == b"content-length" and value.isdigit() and int(value) > limit:
+                self._refuse(413, f"body is larger than {limit} bytes")
+                return
+            if name == b"expect" and value.lower() == b"100-continue":
+                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._size += len(body)
+        if self._size > self._front.limits().body_bytes:
+            self._refuse(413, "body is too large")
+            return
+        self._chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Serve the request, or queue it behind the one in work."""
+        if self._closing:
+            return
+        self._stop_timer()
+        self._reading = False
+        request = self._build_request()
+        if request is None:
+            self._refuse(400, "the target or the host is malformed")
+            return
+        self._headers_done = False
+        self._header_bytes = 0
+        self._queue.append(request)
+        if len(self._queue) >= MOST_PIPELINED and self._transport is not None:
+            self._paused = True
+            self._transport.pause_reading()
+        if self._task is None:
+            self._task = self._loop.create_task(self._serve())
+
+    def _build_request(self) -> messages.Request | None:
+        try:
+            url = httptools.parse_url(bytes(self._target))
+            path = (url.path or b"/").decode("ascii")
+        except (httptools.HttpParserInvalidURLError, UnicodeDecodeError):
+            return None
+        hosts = [value for name, value in self._headers if name == b"host"]
+        if len(hosts) != 1:
+            return None
+        host = hosts[0].decode("latin-1").rsplit(":", 1)[0].lower()
+        return messages.Request(
+            self._parser.get_method(),
+            bytes(self._target),
+            path,
+            host,
+            self._headers,
+            b"".join(self._chunks),
+            self._parser.should_keep_alive(),
+            self._loop.time(),
+        )
+
+    async def _serve(self) -> None:
+        try:
+            while self._queue and not self._closing:
+                request = self._queue.popleft()
+                if self._paused and self._transport is not None:
+                    self._paused = False
+                    self._transport.resume_reading()
+                answer = await self._front.handle(request)
+                self._send(request, answer)
+        finally:
+            self._task = None
+        if not self._closing and not self._reading:
+            self._start_idle()
+
+    def _send(self, request: messages.Request, answer: messages.Answer) -> None:
+        keep = request.keep_alive and not answer.unframed and not self._front.stopping
+        connection: messages.Headers = []
+        if keep:
+            self._promised_idle_s = self._front.limits().idle_timeout_ms / 1000.0
+            if self._promised_idle_s >= 1.0:
+                value = b"timeout=%d" % int(self._promised_idle_s)
+                connection.append((b"keep-alive", value))
+        else:
+            connection.append((b"connection", b"close"))
+        to_head = request.method == b"HEAD"
+        self._write(messages.encode_answer(answer, connection, to_head))
+        if not keep:
+            self.close()
+
+    def _refuse(self, status: int, text: str) -> None:
+        if self._closing:
+            return
+        if self._task is None:
+            answer = messages.own_answer(status, text)
+            close = [(b"connection", b"close")]
+            self._write(messages.encode_answer(answer, close, False))
+        self.close()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._headers: messages.Headers = []
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._header_bytes = 0
+        self._headers_done = False
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _start_timer(self, delay_s: float, action: Callable[[], None]) -> None:
+        self._stop_timer()
+        self._timer = self._loop.call_later(delay_s, action)
+
+    def _start_idle(self) -> None:
+        limit = self._front.limits().idle_timeout_ms / 1000.0
+        if self._promised_idle_s < math.inf:
+            limit = max(limit, self._promised_idle_s)
+        self._start_timer(limit + IDLE_MARGIN_S, self.close)
+
+    def _start_header_limit(self) -> None:
+        limit = self._front.limits().header_timeout_ms / 1000.0
+        self._start_timer(limit, lambda: self._refuse(408, "header took too long"))
+
+    def _start_body_limit(self) -> None:
+        limit = self._front.limits().idle_timeout_ms / 1000.0
+        self._start_timer(limit, lambda: self._refuse(408, "body took too long"))
--- /dev/null
+++ b/src/wasabivalve/gateway/core.py
@@ -0,0 +1,576 @@
+"""Forward requests to instances within their time, their attempts and the budget."""
+
+import asyncio
+import statistics
+from collections.abc import Callable
+from typing import NamedTuple
+
+from wasabivalve import events, retries
+from wasabivalve.desired_state import core as desired_state
+from wasabivalve.placement import core as placement
+
+from . import caller_connection, messages, pool, upstream_connection, waiting
+
+BACKLOG = 512
+"""Connections that the kernel holds until they are accepted."""
+
+LEAST_ATTEMPT_S = 0.012
+"""With less time left no instance can answer, a round trip included."""
+
+HOPELESS_SHARE = 0.6
+"""A request is given up when it has less than this share of a service time left."""
+
+LEAST_RETRY_AFTER_S = 0.05
+LONGEST_RETRY_AFTER_S = 1.0
+"""Bounds of Retry-After; callers wait at most a third of their time."""
+
+MOVED_WAIT_S = 0.12
+"""Wait after an instance says that it does not hold a key, while the key moves."""
+
+LONGEST_SLEEP_S = 0.05
+"""A waiting request looks for room at least this often, as estimates age by time."""
+
+WAIT_SHARE = 0.75
+"""Share of the time of a request that it may wait for room."""
+
+SIZE_WEIGHT = 0.1
+"""Weight of the newest sample in the average size of a route's exchanges."""
+
+
+LEAST_SPEED_SAMPLES = 8
+SLOWEST = 0.4
+FASTEST = 2.0
+"""Bounds of the observed speed of an instance, relative to the median."""
+
+
+class Bounds(NamedTuple):
+    """Bound the repeats of all VMs together; the window is in ms."""
+
+    repeat_share: float
+    repeat_window_ms: float
+    repeat_allowance: float
+
+
+class Surroundings(NamedTuple):
+    """Give the gateway what other parts know.
+
+    ``owner`` names the instance that holds a key of a divided service, or None;
+    ``live_vms`` is the number of entry VMs; ``on_key`` counts requests by key.
+    """
+
+    instances: Callable[[str], list[placement.Instance]]
+    owner: Callable[[str, int], str | None]
+    live_vms: Callable[[], int]
+    on_key: Callable[[str, int], None]
+
+
+class _Attempt(NamedTuple):
+    outcome: upstream_connection.Outcome | upstream_connection.NotSent
+    timed_out: bool = False
+
+
+class _Work:
+    """Hold the state of one request."""
+
+    def __init__(
+        self,
+        request: messages.Request,
+        route: desired_state.Route,
+        service: desired_state.Service,
+        request_id: str,
+        time_left_s: float,
+        key: int | None,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.request_id = request_id
+        self.key = key
+        self.time_left_s = time_left_s
+        self.end_at = request.received_at + min(time_left_s, route.timeout_ms / 1000.0)
+        self.attempts = 0
+        self.may_have_run = False
+        self.excluded: set[str] = set()
+        self.moved_from: str | None = None
+        self.not_before = 0.0
+        self.last_failure: messages.Answer | None = None
+        self.trail: list[str] = []
+
+
+class Gateway:
+    """Serve callers and forward their requests."""
+
+    def __init__(
+        self,
+        dialect: messages.Dialect,
+        places: placement.Places,
+        bounds: Bounds,
+        surroundings: Surroundings,
+    ) -> None:
+        self.stopping = False
+        self.requests = 0
+        self.pool = pool.Pool()
+        self._dialect = dialect
+        self._places = places
+        self._bounds = bounds
+        self._surroundings = surroundings
+        self._table: desired_state.RouteTable | None = None
+        self._splits = desired_state.SplitChooser()
+        self._load_by_life: dict[pool.Life, placement.InstanceLoad] = {}
+        self._line_by_name: dict[str, waiting.WaitingLine] = {}
+        self._window_by_service: dict[str, retries.RepeatWindow] = {}
+        self._service_time_by_route: dict[str, float] = {}
+        self._kilobytes_by_route: dict[str, float] = {}
+        self._connections: set[caller_connection.CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Accept connections of callers."""
+        self._loop = asyncio.get_running_loop()
+        self._server = await self._loop.create_server(
+            lambda: caller_connection.CallerConnection(self),
+            host,
+            port,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    def close(self) -> None:
+        """Close all connections at once."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+        self.pool.close()
+
+    def close_idle_callers(self) -> None:
+        """Close the connections of callers on which no request is in work."""
+        for connection in list(self._connections):
+            if not connection.busy:
+                connection.close()
+
+    @property
+    def busy(self) -> int:
+        """Return the number of connections with a request in work."""
+        return sum(1 for connection in self._connections if connection.busy)
+
+    def set_state(self, state: desired_state.DesiredState) -> None:
+        """Put a desired state in force for the requests that come from now on."""
+        self._table = desired_state.RouteTable(state)
+        self._splits.forget_except(state)
+
+    def limits(self) -> desired_state.CallerLimits:
+        """Return the limits in force."""
+        if self._table is None:
+            return caller_connection.DEFAULT_LIMITS
+        return self._table.state.limits
+
+    def on_open(self, connection: caller_connection.CallerConnection) -> None:
+        """Note an open connection."""
+        self._connections.add(connection)
+
+    def on_closed(self, connection: caller_connection.CallerConnection) -> None:
+        """Note a closed connection."""
+        self._connections.discard(connection)
+
+    def on_instance_change(
+        self, before: placement.Instance | None, after: placement.Instance | None
+    ) -> None:
+        """Forget a life that ended and wake requests that wait for an instance."""
+        if before is not None and (after is None or after.born != before.born):
+            self._load_by_life.pop(pool.Life(before.id, before.born), None)
+            self.pool.close_idle(before)
+        for line in self._line_by_name.values():
+            line.wake_first()
+
+    def wake_all(self) -> None:
+        """Let waiting requests look again, as owners have changed."""
+        for line in self._line_by_name.values():
+            line.wake_first()
+
+    async def handle(self, request: messages.Request) -> messages.Answer:
+        """Return the answer to a request; cancelled when its caller leaves."""
+        self.requests += 1
+        identity = request.header(self._dialect.request_id)
+        request_id = identity.decode("latin-1") if identity else "-"
+        if self._table is None:
+            events.emit(410, request=request_id, reason="no desired state")
+            return messages.own_answer(503, "no desired state is known yet", 0.3)
+        route = self._table.find(request.host, request.path)
+        version = self._table.state.version
+        if route is None:
+            events.emit(411, request=request_id, host=request.host, version=version)
+            return messages.own_answer(404, "no route has this host and path")
+        service_name = self._splits.choose(route)
+        service = self._table.state.service_by_name.get(service_name)
+        if service is None:
+            events.emit(410, request=request_id, reason="unknown service")
+            return messages.own_answer(503, "the service is not known", 0.3)
+        work = self._start_work(request, route, service, request_id)
+        self._window(service.name).on_request(request.received_at * 1000.0)
+        try:
+            answer = await self._forward(work)
+        except asyncio.CancelledError:
+            events.emit(412, request=request_id, attempts=work.attempts)
+            raise
+        assert self._loop is not None
+        events.emit(
+            420 if answer.status < 500 else 413,
+            request=request_id,
+            route=route.name,
+            version=version,
+            status=answer.status,
+            own=answer.header(self._dialect.proof) is None,
+            ms=round(1000.0 * (self._loop.time() - request.received_at)),
+            trail=";".join(work.trail),
+        )
+        return answer
+
+    def _start_work(
+        self,
+        request: messages.Request,
+        route: desired_state.Route,
+        service: desired_state.Service,
+        request_id: str,
+    ) -> _Work:
+        time_left = request.header(self._dialect.time_left)
+        left_s = self._dialect.decode_time_left(time_left) if time_left else None
+        key = None
+        if service.divided:
+            value = request.header(self._dialect.key)
+            key = self._dialect.decode_key(value) if value else None
+            if key is not None:
+                self._surroundings.on_key(service.name, key)
+        limit = route.timeout_ms / 1000.0
+        return _Work(
+            request,
+            route,
+            service,
+            request_id,
+            limit if left_s is None else left_s,
+            key,
+        )
+
+    async def _forward(self, work: _Work) -> messages.Answer:
+        assert self._loop is not None
+        while True:
+            choice = await self._find_room(work)
+            if choice is None:
+                return self._give_up(work)
+            if work.attempts and not self._may_repeat(work):
+                return self._give_up(work)
+            attempt = await self._attempt(work, choice.load)
+            answer = self._judge(work, choice.load, attempt)
+            if answer is not None:
+                return answer
+            if work.attempts >= work.route.most_attempts:
+                return self._give_up(work)
+
+    def _may_repeat(self, work: _Work) -> bool:
+        assert self._loop is not None
+        now_ms = 1000.0 * self._loop.time()
+        window = self._window(work.service.name)
+        allowed = window.try_take(self._surroundings.live_vms(), now_ms)
+        if not allowed:
+            work.trail.append("no-budget")
+        return allowed
+
+    async def _find_room(self, work: _Work) -> placement.Choice | None:
+        """Wait for an instance with room; None when the request is hopeless."""
+        assert self._loop is not None
+        line = self._line(work)
+        service_time_s = self._service_time_ms(work.route) / 1000.0
+        if not len(line):
+            choice = self._choose(work)
+            if choice is not None:
+                return choice
+        now = self._loop.time()
+        left = work.end_at - now
+        expected = line.expected_wait_s(work.route.rank, now)
+        if expected + HOPELESS_SHARE * service_time_s > left:
+            work.trail.append("hopeless")
+            return None
+        last_start = work.end_at - max(LEAST_ATTEMPT_S, HOPELESS_SHARE * service_time_s)
+        last_wait = work.request.received_at + WAIT_SHARE * (
+            work.end_at - work.request.received_at
+        )
+        give_up_at = min(last_start, last_wait)
+        waiter = line.join(work.route.rank, give_up_at)
+        try:
+            while True:
+                if line.is_first(waiter):
+                    choice = self._choose(work)
+                    if choice is not None:
+                        return choice
+                now = self._loop.time()
+                if now >= give_up_at:
+                    work.trail.append("no-room")
+                    return None
+                pause = min(LONGEST_SLEEP_S, give_up_at - now)
+                waiter.wake.clear()
+                try:
+                    await asyncio.wait_for(waiter.wake.wait(), pause)
+                except TimeoutError:
+                    # The pause is over; estimates may have room now.
+                    pass
+        finally:
+            line.leave(waiter)
+            line.wake_first()
+
+    def _choose(self, work: _Work) -> placement.Choice | None:
+        assert self._loop is not None
+        now = 1000.0 * self._loop.time()
+        instances = self._surroundings.instances(work.service.name)
+        if work.key is not None:
+            owner = self._surroundings.owner(work.service.name, work.key)
+            if owner == work.moved_from and self._loop.time() < work.not_before:
+                return None
+            instances = [one for one in instances if one.id == owner]
+        loads = [self._load(instance, now) for instance in instances]
+        return placement.choose(
+            loads,
+            self._places,
+            self._service_time_ms(work.route),
+            work.route.target_latency_ms,
+            self._kilobytes_by_route.get(work.route.name, 2.0),
+            work.excluded if work.key is None else (),
+            now,
+        )
+
+    async def _attempt(self, work: _Work, load: placement.InstanceLoad) -> _Attempt:
+        assert self._loop is not None
+        instance = load.instance
+        started = self._loop.time()
+        work.trail.append(instance.id)
+        load_at_start = load.load(1000.0 * started)
+        load.in_flight += 1
+        connection: (
+            upstream_connection.UpstreamConnection | upstream_connection.NotSent | None
+        ) = None
+        ended = False
+        try:
+            most = max(
+                2,
+                int(
+                    pool.CONNECTION_SHARE
+                    * work.service.most_connections
+                    / max(1, self._surroundings.live_vms())
+                ),
+            )
+            connection = await self.pool.take(instance, work.route.idempotent, most)
+            if isinstance(connection, upstream_connection.NotSent):
+                ended = True
+                return _Attempt(connection)
+            now = self._loop.time()
+            if connection.opened_at >= started:
+                load.round_trip_ms = 1000.0 * (now - started)
+            if work.end_at - now < LEAST_ATTEMPT_S:
+                ended = True
+                self.pool.give_back(instance, connection)
+                return _Attempt(upstream_connection.NotSent("no time left"))
+            work.attempts += 1
+            identity = work.request.header(self._dialect.request_id)
+            exchange = connection.exchange(
+                self._encode(work, instance, now),
+                (self._dialect.request_id, identity) if identity else None,
+                work.request.method == b"HEAD",
+            )
+            try:
+                async with asyncio.timeout_at(work.end_at):
+                    outcome = await exchange
+            except TimeoutError:
+                return _Attempt(upstream_connection.Broken("no answer in time"), True)
+            ended = isinstance(outcome, messages.Answer)
+            if ended:
+                self.pool.give_back(instance, connection)
+                self._record_answer(work, load, outcome, started, load_at_start)
+            return _Attempt(outcome)
+        finally:
+            load.in_flight -= 1
+            if not ended and isinstance(
+                connection, upstream_connection.UpstreamConnection
+            ):
+                self.pool.discard(instance, connection)
+            line = self._line(work)
+            line.on_answer(self._loop.time())
+            line.wake_first()
+
+    def _encode(self, work: _Work, instance: placement.Instance, now: float) -> bytes:
+        dialect = self._dialect
+        own = (dialect.time_left, dialect.expected_instance)
+        named = {
+            token.strip().lower()
+            for name, value in work.request.headers
+            if name == b"connection"
+            for token in value.split(b",")
+        }
+        headers = [
+            (name, value)
+            for name, value in work.request.headers
+            if name not in messages.CONNECTION_HEADERS
+            and name not in own
+            and name not in named
+        ]
+        left = work.end_at - now
+        headers.append((dialect.time_left, dialect.encode_time_left(left)))
+        headers.append((dialect.expected_instance, instance.id.encode()))
+        chunked = any(name == b"transfer-encoding" for name, _ in work.request.headers)
+        return messages.encode_request(
+            work.request.method,
+            work.request.target,
+            headers,
+            work.request.body,
+            chunked,
+        )
+
+    def _record_answer(
+        self,
+        work: _Work,
+        load: placement.InstanceLoad,
+        outcome: upstream_connection.Outcome,
+        started: float,
+        load_at_start: float,
+    ) -> None:
+        assert self._loop is not None and isinstance(outcome, messages.Answer)
+        now = self._loop.time()
+        value = outcome.header(self._dialect.report)
+        report = self._dialect.decode_report(value) if value else None
+        if report is not None:
+            load.on_report(report.running, report.waiting, 1000.0 * now)
+        if outcome.status >= 500 or outcome.header(self._dialect.not_run):
+            return
+        load.on_answer(1000.0 * (now - started), load_at_start, 1000.0 * now)
+        route = work.route.name
+        size = (len(outcome.body) + len(work.request.body)) / 1000.0
+        known = self._kilobytes_by_route.get(route, size)
+        self._kilobytes_by_route[route] = known + SIZE_WEIGHT * (size - known)
+        known = self._service_time_by_route.get(route, load.service_time_ms)
+        self._service_time_by_route[route] = known + placement.SERVICE_TIME_WEIGHT * (
+            load.service_time_ms - known
+        )
+
+    def _judge(
+        self, work: _Work, load: placement.InstanceLoad, attempt: _Attempt
+    ) -> messages.Answer | None:
+        """Return the final answer, or None where another attempt may follow."""
+        assert self._loop is not None
+        now_ms = 1000.0 * self._loop.time()
+        outcome = attempt.outcome
+        instance = load.instance
+        if isinstance(outcome, upstream_connection.NotSent):
+            work.trail.append(outcome.reason)
+            if outcome.reason.startswith("connection"):
+                load.on_failure(now_ms, connected=False)
+                self.pool.close_idle(instance)
+            work.excluded.add(instance.id)
+            return None
+        if isinstance(outcome, upstream_connection.Broken):
+            work.trail.append(outcome.reason)
+            load.on_failure(now_ms, connected=True)
+            self.pool.close_idle(instance)
+            work.may_have_run = True
+            work.excluded.add(instance.id)
+            return (
+                None
+                if work.route.idempotent and not attempt.timed_out
+                else (self._give_up(work))
+            )
+        if outcome.header(self._dialect.not_run) is not None or outcome.status == 421:
+            work.trail.append(f"not-run-{outcome.status}")
+            work.excluded.add(instance.id)
+            work.moved_from = instance.id
+            work.not_before = self._loop.time() + MOVED_WAIT_S
+            return None
+        if self._is_garbled(outcome):
+            work.trail.append("garbled")
+            work.may_have_run = True
+            work.excluded.add(instance.id)
+            return None if work.route.idempotent else self._give_up(work)
+        if outcome.status >= 500:
+            load.on_error_answer()
+            work.trail.append(str(outcome.status))
+            if work.route.idempotent and outcome.status != 504:
+                work.may_have_run = True
+                work.excluded.add(instance.id)
+                work.last_failure = outcome
+                return None
+        return self._pass_on(outcome)
+
+    def _is_garbled(self, answer: messages.Answer) -> bool:
+        if answer.header(b"content-encoding") is not None:
+            return True
+        success = 200 <= answer.status < 300
+        return success and answer.header(self._dialect.proof) is None
+
+    def _pass_on(self, answer: messages.Answer) -> messages.Answer:
+        dropped = (self._dialect.report,)
+        headers = [
+            (name, value)
+            for name, value in answer.headers
+            if name not in messages.CONNECTION_HEADERS and name not in dropped
+        ]
+        return answer._replace(headers=headers)
+
+    def _give_up(self, work: _Work) -> messages.Answer:
+        """Return the final answer of a request that no instance answered."""
+        assert self._loop is not None
+        if work.last_failure is not None:
+            return self._pass_on(work.last_failure)
+        if work.may_have_run:
+            late = self._loop.time() >= work.end_at - LEAST_ATTEMPT_S
+            status = 504 if late else 502
+            return messages.own_answer(status, "it is not known whether it has run")
+        line = self._line(work)
+        expected = line.expected_wait_s(work.route.rank, self._loop.time())
+        retry_after = min(
+            LONGEST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, 0.5 * expected)
+        )
+        return messages.own_answer(503, "the request has not run", retry_after)
+
+    def _load(self, instance: placement.Instance, now: float) -> placement.InstanceLoad:
+        life = pool.Life(instance.id, instance.born)
+        load = self._load_by_life.get(life)
+        if load is None:
+            load = self._load_by_life[life] = placement.InstanceLoad(instance, now)
+        load.instance = instance
+        return load
+
+    def _line(self, work: _Work) -> waiting.WaitingLine:
+        name = work.service.name
+        if work.key is not None:
+            owner = self._surroundings.owner(name, work.key)
+            name = f"{name}/{owner}"
+        line = self._line_by_name.get(name)
+        if line is None:
+            line = self._line_by_name[name] = waiting.WaitingLine()
+        return line
+
+    def _window(self, service: str) -> retries.RepeatWindow:
+        window = self._window_by_service.get(service)
+        if window is None:
+            window = self._window_by_service[service] = retries.RepeatWindow(
+                self._bounds.repeat_window_ms,
+                self._bounds.repeat_share,
+                self._bounds.repeat_allowance,
+            )
+        return window
+
+    def _service_time_ms(self, route: desired_state.Route) -> float:
+        return self._service_time_by_route.get(
+            route.name, placement.INITIAL_SERVICE_TIME_MS
+        )
+
+    def speed(self, instance: placement.Instance) -> float:
+        """Return how fast an instance is, relative to the others of its service."""
+        own = self._load_by_life.get(pool.Life(instance.id, instance.born))
+        if own is None or own.samples < LEAST_SPEED_SAMPLES:
+            return 1.0
+        others = [
+            load.service_time_ms
+            for load in self._load_by_life.values()
+            if load.instance.service == instance.service
+            and load.samples >= LEAST_SPEED_SAMPLES
+        ]
+        speed = statistics.median(others) / max(1.0, own.service_time_ms)
+        return min(FASTEST, max(SLOWEST, speed))
--- /dev/null
+++ b/src/wasabivalve/gateway/messages.py
@@ -0,0 +1,136 @@
+"""Define requests, answers and the header names of a deployment."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+Headers = list[tuple[bytes, bytes]]
+
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+"""Headers that concern one connection; framing is written anew for each."""
+
+REASON_BY_STATUS = {
+    100: b"Continue",
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class Report(NamedTuple):
+    """Hold the load that an instance reports: requests running and waiting."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Dialect(NamedTuple):
+    """Name the headers of a deployment, in lower case, and decode their values.
+
+    ``proof`` marks answers that an instance made, ``not_run`` those that state that
+    the request has not run, ``key`` holds a request's key for divided services.
+    """
+
+    request_id: bytes
+    time_left: bytes
+    expected_instance: bytes
+    proof: bytes
+    not_run: bytes
+    key: bytes
+    report: bytes
+    decode_key: Callable[[bytes], int | None]
+    decode_time_left: Callable[[bytes], float | None]
+    encode_time_left: Callable[[float], bytes]
+    decode_report: Callable[[bytes], Report | None]
+
+
+class Request(NamedTuple):
+    """Hold one whole request of a caller; ``received_at`` is in s of the loop."""
+
+    method: bytes
+    target: bytes
+    path: str
+    host: str
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+    received_at: float
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of the only header of this name, or None."""
+        values = [value for one, value in self.headers if one == name]
+        return values[0] if len(values) == 1 else None
+
+
+class Answer(NamedTuple):
+    """Hold an answer; an ``unframed`` one ends with its connection."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+    body: bytes
+    unframed: bool = False
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None."""
+        for one, value in self.headers:
+            if one == name:
+                return value
+        return None
+
+
+def own_answer(status: int, text: str, retry_after_s: float | None = None) -> Answer:
+    """Return an answer of the gateway itself."""
+    headers = [(b"content-type", b"text/plain; charset=utf-8")]
+    if retry_after_s is not None:
+        headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+    return Answer(status, REASON_BY_STATUS[status], headers, text.encode() + b"\n")
+
+
+def encode_request(
+    method: bytes, target: bytes, headers: Headers, body: bytes, chunked: bool
+) -> bytes:
+    """Return the bytes of a request that keeps its connection open."""
+    lines = [method + b" " + target + b" HTTP/1.1\r\n"]
+    lines += [name + b": " + value + b"\r\n" for name, value in headers]
+    if body or chunked or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"content-length: %d\r\n" % len(body))
+    lines.append(b"\r\n")
+    lines.append(body)
+    return b"".join(lines)
+
+
+def encode_answer(answer: Answer, connection: Headers, to_head: bool) -> bytes:
+    """Return the bytes of an answer with the given connection headers."""
+    reason = answer.reason or REASON_BY_STATUS.get(answer.status, b"")
+    lines = [b"HTTP/1.1 %d " % answer.status + reason + b"\r\n"]
+    lines += [name + b": " + value + b"\r\n" for name, value in answer.headers]
+    lines += [name + b": " + value + b"\r\n" for name, value in connection]
+    bodiless = answer.status in (204, 304)
+    if not answer.unframed and not bodiless:
+        lines.append(b"content-length: %d\r\n" % len(answer.body))
+    lines.append(b"\r\n")
+    if not to_head and not bodiless:
+        lines.append(answer.body)
+    return b"".join(lines)
--- /dev/null
+++ b/src/wasabivalve/key_leases/controller.py
@@ -0,0 +1,555 @@
+"""Grant key ranges to instances, renew the grants and move ranges between them.
+
+The order of every step keeps each key with one holder: a range is recorded in the
+ledger before it is granted, and it is recorded for another holder only once the
+present one has released it or its hold has certainly run out.
+"""
+
+import asyncio
+import dataclasses
+import uuid
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Literal, NamedTuple
+
+from wasabivalve import events
+from wasabivalve.placement import core as placement
+
+from . import core, planning
+
+HOLD_MS = 4_000.0
+"""Time for which a grant holds; a lost controller is replaced within about 2.5 s."""
+
+RENEWAL_MS = 1_200.0
+"""Interval of renewals; two may be lost before a hold runs out."""
+
+CLOCK_MARGIN = 1.03
+"""A server's clock may run 2 % slow; the rest covers the way of the call."""
+
+ARRIVAL_MARGIN_MS = 250.0
+"""Time that a call may be under way before its hold begins."""
+
+AUTHORITY_MS = 12_000.0
+"""A controller renews for this long after the registry last confirmed it.
+
+It rides out an outage of the store of that length. A successor waits as long before
+it takes keys from an instance that does not answer.
+"""
+
+CALL_TIMEOUT_MS = 700.0
+"""Time for a call to an instance; a round trip between regions takes 40 ms."""
+
+RELEASE_TIMEOUT_MS = 2_500.0
+"""Time for a release, which ends when the work on the keys has ended."""
+
+LOST_AFTER_MS = 900.0
+"""Renewals that fail for this long make an instance count as lost."""
+
+TICK_MS = 100.0
+BALANCE_INTERVAL_MS = 1_500.0
+"""Interval of moves for balance; the load of a range takes about as long to show."""
+
+MOST_MOVES = 4
+"""Moves of one round of balancing; each pauses its keys for a few round trips."""
+
+START_WAIT_MS = 700.0
+"""Time for which the set of instances must be unchanged before the first plan."""
+
+RETRY_WRITE_S = 0.15
+
+GrantResult = Literal["granted", "refused", "no_answer"]
+AppendResult = Literal["done", "moved", "unknown"]
+
+
+class Released(NamedTuple):
+    """State that an instance gave up keys, with its handover if it gave one."""
+
+    handover: str | None
+
+
+class Ledger(NamedTuple):
+    """Hold the newest recorded map and the position of the next record."""
+
+    key_map: core.KeyMap
+    end: int
+
+
+class Calls(NamedTuple):
+    """Give the controller its calls to the store and to instances.
+
+    Times are in ms; ``now`` also counts time for which the machine was suspended.
+    """
+
+    now: Callable[[], float]
+    read_ledger: Callable[[], Awaitable[Ledger | None]]
+    append_ledger: Callable[[core.KeyMap, int], Awaitable[AppendResult]]
+    grant: Callable[
+        [placement.Instance, int, int, int, float, str | None, float],
+        Awaitable[GrantResult],
+    ]
+    release: Callable[
+        [placement.Instance, int, int, int, float], Awaitable[Released | None]
+    ]
+
+
+class Surroundings(NamedTuple):
+    """Give the controller what other parts know."""
+
+    divided_services: Callable[[], Sequence[str]]
+    instance: Callable[[str], placement.Instance | None]
+    instances: Callable[[str], Sequence[placement.Instance]]
+    speed: Callable[[placement.Instance], float]
+    load_by_bucket: Callable[[str], Sequence[float]]
+    on_map: Callable[[core.KeyMap], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Hold:
+    """Hold what is known of one recorded range; times in ms of ``now``."""
+
+    service: str
+    range: core.KeyRange
+    token: int
+    until: float
+    due_at: float = 0.0
+    answered: bool = False
+    failing_since: float | None = None
+    unanswered_until: float = 0.0
+    frozen: bool = False
+    free: bool = False
+    handover: str | None = None
+    last_known: placement.Instance | None = None
+
+
+class Controller:
+    """Control the keys of all divided services while this VM leads."""
+
+    def __init__(
+        self, vm: str, hold_max_ms: float, calls: Calls, surroundings: Surroundings
+    ) -> None:
+        self._vm = vm
+        self._hold_ms = min(HOLD_MS, hold_max_ms)
+        self._calls = calls
+        self._around = surroundings
+        self._writer = uuid.uuid4().hex
+        self._leads = False
+        self._confirmed_at = 0.0
+        self._term: int | None = None
+        self._map = core.EMPTY
+        self._end = 0
+        self._step = 0
+        self._holds: list[_Hold] = []
+        self._seen: tuple[str, ...] = ()
+        self._seen_since = 0.0
+        self._balanced_at = 0.0
+        self._tasks: list[asyncio.Task[None]] = []
+        self._calls_under_way: set[asyncio.Task[None]] = set()
+        self._writing = asyncio.Lock()
+
+    @property
+    def leads(self) -> bool:
+        """Return whether this VM leads and has claimed its term."""
+        return self._leads and self._term is not None
+
+    def start(self) -> None:
+        """Start the tasks that renew and manage."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._repeat(self._renew)),
+            loop.create_task(self._repeat(self._manage)),
+        ]
+
+    def close(self) -> None:
+        """Stop all tasks."""
+        for task in [*self._tasks, *self._calls_under_way]:
+            task.cancel()
+
+    def on_leader(self, confirmed_at: float) -> None:
+        """Note that the registry named this VM leader by a call sent at this time."""
+        if not self._leads:
+            events.emit(310, vm=self._vm)
+        self._leads = True
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+
+    def on_follower(self, reason: str) -> None:
+        """Stop all orders, as another VM leads or may lead."""
+        if self._leads:
+            events.emit(311, vm=self._vm, term=self._term, reason=reason)
+        self._leads = False
+        self._term = None
+        self._holds = []
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            try:
+                await step()
+            except Exception as error:
+                # One failed round must not end the control of all keys.
+                events.emit(5, where="key controller", error=repr(error))
+            await asyncio.sleep(TICK_MS / 1000.0)
+
+    def _has_authority(self) -> bool:
+        if not self._leads or self._term is None:
+            return False
+        if self._calls.now() < self._confirmed_at + AUTHORITY_MS:
+            return True
+        self.on_follower("the store has not confirmed the leader for too long")
+        return False
+
+    # Claim and record.
+
+    async def _claim(self) -> None:
+        ledger = await self._calls.read_ledger()
+        if ledger is None or not self._leads:
+            return
+        claim = ledger.key_map._replace(
+            term=ledger.end, controller=self._vm, writer=self._writer, number=0
+        )
+        result = await self._calls.append_ledger(claim, ledger.end)
+        if result != "done":
+            # A claim without an answer may still be done; the next round then finds
+            # the end moved and claims again behind it.
+            events.emit(312, result=result, at=ledger.end)
+            return
+        if not self._leads:
+            return
+        self._term, self._end, self._step = ledger.end, ledger.end + 1, 0
+        self._take_map(claim)
+        now = self._calls.now()
+        longest = AUTHORITY_MS + self._longest_hold_ms()
+        token = self._next_token()
+        self._holds = [
+            _Hold(service, one, token, now + longest)
+            for service, ranges in claim.ranges_by_service.items()
+            for one in ranges
+        ]
+        events.emit(304, term=self._term, ranges=len(self._holds))
+
+    async def _write(
+        self, ranges_by_service: Mapping[str, list[core.KeyRange]]
+    ) -> bool:
+        """Record ranges; return whether they are certainly recorded in this term."""
+        async with self._writing:
+            term = self._term
+            changed = {
+                service: core.merge(ranges)
+                for service, ranges in ranges_by_service.items()
+            }
+            new = self._map._replace(
+                number=self._map.number + 1,
+                ranges_by_service={**self._map.ranges_by_service, **changed},
+            )
+            while self._has_authority() and self._term == term:
+                result = await self._calls.append_ledger(new, self._end)
+                if result == "moved":
+                    ledger = await self._calls.read_ledger()
+                    if ledger is None:
+                        await asyncio.sleep(RETRY_WRITE_S)
+                        continue
+                    newest = ledger.key_map
+                    if (newest.writer, newest.number) != (new.writer, new.number):
+                        self.on_follower("another controller wrote to the ledger")
+                        return False
+                    result = "done"
+                if result == "done":
+                    if self._term != term:
+                        return False
+                    self._end += 1
+                    self._take_map(new)
+                    return True
+                await asyncio.sleep(RETRY_WRITE_S)
+            return False
+
+    def _take_map(self, key_map: core.KeyMap) -> None:
+        self._map = key_map
+        self._around.on_map(key_map)
+
+    def _next_token(self) -> int:
+        assert self._term is not None
+        self._step += 1
+        return core.token(self._term, self._step)
+
+    def _longest_hold_ms(self) -> float:
+        return self._hold_ms * CLOCK_MARGIN + ARRIVAL_MARGIN_MS
+
+    # Renewals.
+
+    async def _renew(self) -> None:
+        if not self._has_authority():
+            return
+        now = self._calls.now()
+        for hold in self._holds:
+            if hold.frozen or now < hold.due_at:
+                continue
+            instance = self._around.instance(hold.range.instance)
+            if instance is None or instance.born != hold.range.born:
+                continue
+            hold.due_at = now + RENEWAL_MS
+            hold.last_known = instance
+            self._start_call(self._grant(hold, instance))
+
+    def _start_call(self, call: Awaitable[None]) -> None:
+        async def guard() -> None:
+            await call
+
+        task = asyncio.get_running_loop().create_task(guard())
+        self._calls_under_way.add(task)
+        task.add_done_callback(self._calls_under_way.discard)
+
+    async def _grant(self, hold: _Hold, instance: placement.Instance) -> None:
+        term = self._term
+        sent_at = self._calls.now()
+        until = sent_at + self._longest_hold_ms()
+        hold.until = max(hold.until, until)
+        unanswered_before = hold.unanswered_until
+        hold.unanswered_until = until
+        result = await self._calls.grant(
+            instance,
+            hold.range.first,
+            hold.range.last,
+            hold.token,
+            self._hold_ms / 1000.0,
+            hold.handover,
+            CALL_TIMEOUT_MS,
+        )
+        if self._term != term:
+            return
+        if result == "granted":
+            # Grants of earlier terms are refused from here on.
+            hold.until = until
+            hold.unanswered_until = unanswered_before
+            hold.answered = True
+            hold.failing_since = None
+            hold.handover = None
+            return
+        events.emit(
+            313,
+            instance=instance.id,
+            first=hold.range.first,
+            last=hold.range.last,
+            token=hold.token,
+            result=result,
+        )
+        if result == "refused":
+            # Another controller used a higher token.
+            self.on_follower("an instance has seen a higher token")
+            return
+        if hold.failing_since is None:
+            hold.failing_since = sent_at
+        hold.due_at = min(hold.due_at, self._calls.now() + RENEWAL_MS / 4.0)
+
+    # Moves.
+
+    async def _manage(self) -> None:
+        if not self._leads:
+            return
+        if self._term is None:
+            await self._claim()
+            return
+        if not self._has_authority():
+            return
+        self._note_instances()
+        for service in self._around.divided_services():
+            if not self._has_authority():
+                return
+            if not self._map.ranges_by_service.get(service):
+                await self._assign_first(service)
+            else:
+                await self._replace_lost(service)
+        now = self._calls.now()
+        if now >= self._balanced_at + BALANCE_INTERVAL_MS:
+            self._balanced_at = now
+            for service in self._around.divided_services():
+                await self._balance(service)
+
+    def _note_instances(self) -> None:
+        seen = tuple(
+            sorted(
+                instance.id
+                for service in self._around.divided_services()
+                for instance in self._around.instances(service)
+            )
+        )
+        if seen != self._seen:
+            self._seen = seen
+            self._seen_since = self._calls.now()
+
+    def _targets(self, service: str) -> list[planning.Target]:
+        failing = {
+            hold.range.instance
+            for hold in self._holds
+            if hold.failing_since is not None
+        }
+        return [
+            planning.Target(one.id, one.born, one.slots, self._around.speed(one))
+            for one in self._around.instances(service)
+            if not one.draining and one.id not in failing
+        ]
+
+    async def _assign_first(self, service: str) -> None:
+        targets = self._targets(service)
+        if not targets or self._calls.now() < self._seen_since + START_WAIT_MS:
+            return
+        loads = planning.smooth(self._around.load_by_bucket(service))
+        ranges = planning.plan_all(service, targets, loads)
+        if not await self._write({service: list(ranges)}):
+            return
+        events.emit(302, service=service, ranges=len(ranges), reason="first plan")
+        for one in ranges:
+            self._holds.append(_Hold(service, one, self._next_token(), 0.0))
+        await self._renew()
+
+    async def _replace_lost(self, service: str) -> None:
+        now = self._calls.now()
+        releases = []
+        for hold in self._of(service):
+            instance = self._around.instance(hold.range.instance)
+            if hold.free:
+                continue
+            if instance is not None and instance.born != hold.range.born:
+                # A new life proves that the old one holds nothing.
+                hold.frozen = hold.free = True
+            elif hold.frozen:
+                hold.free = now >= hold.until
+            elif instance is None or instance.draining:
+                hold.frozen = True
+                known = instance or hold.last_known
+                if known is not None:
+                    releases.append(self._release(hold, known))
+            elif (
+                hold.failing_since is not None
+                and now >= hold.failing_since + LOST_AFTER_MS
+            ):
+                events.emit(303, instance=instance.id, first=hold.range.first)
+                hold.frozen = True
+        if releases:
+            # A slow release must not hold up the others.
+            for release in releases:
+                self._start_call(release)
+            return
+        free = [hold for hold in self._of(service) if hold.free]
+        if not free:
+            return
+        loads = planning.smooth(self._around.load_by_bucket(service))
+        kept = [hold.range for hold in self._of(service) if not hold.free]
+        lost = [hold.range for hold in free]
+        moves = planning.plan_loss(service, lost, kept, self._targets(service), loads)
+        if moves:
+            await self._hand_over(service, free, moves, "holder is gone")
+
+    async def _release(self, hold: _Hold, instance: placement.Instance) -> None:
+        term = self._term
+        if not hold.answered or self._calls.now() < hold.unanswered_until:
+            # A grant without an answer may still be carried out; the release counts
+            # only once the instance refuses it for a higher token.
+            hold.token = self._next_token()
+            await self._grant(hold, instance)
+            if not hold.answered or hold.failing_since is not None:
+                return
+        released = await self._calls.release(
+            instance,
+            hold.range.first,
+            hold.range.last,
+            hold.token,
+            RELEASE_TIMEOUT_MS,
+        )
+        if self._term == term and released is not None:
+            hold.handover = released.handover
+            hold.free = True
+
+    async def _hand_over(
+        self,
+        service: str,
+        free: Sequence[_Hold],
+        moves: Sequence[planning.Move],
+        reason: str,
+    ) -> None:
+        """Record free ranges for their new holders and grant them."""
+        ranges = [hold.range for hold in self._of(service) if hold not in free]
+        new = []
+        for move in moves:
+            one = core.KeyRange(move.first, move.last, move.to_instance, move.to_born)
+            ranges.append(one)
+            for source in free:
+                if source.range.first <= move.first <= source.range.last:
+                    hold = _Hold(service, one, self._next_token(), 0.0)
+                    hold.handover = source.handover
+                    new.append(hold)
+                    break
+        if not await self._write({service: ranges}):
+            return
+        self._holds = [hold for hold in self._holds if hold not in free] + new
+        for hold in new:
+            events.emit(
+                302,
+                service=service,
+                first=hold.range.first,
+                last=hold.range.last,
+                instance=hold.range.instance,
+                token=hold.token,
+                reason=reason,
+            )
+        await self._renew()
+
+    async def _balance(self, service: str) -> None:
+        holds = self._of(service)
+        if not holds or any(hold.frozen or not hold.answered for hold in holds):
+            return
+        targets = self._targets(service)
+        loads = planning.smooth(self._around.load_by_bucket(service))
+        ranges = [hold.range for hold in holds]
+        holders = {one.instance for one in ranges}
+        empty = [target for target in targets if target.id not in holders]
+        band = 1.0 if empty else planning.DEAD_BAND
+        most = max(len(empty), MOST_MOVES)
+        moves = planning.plan_moves(service, ranges, targets, loads, most, band)
+        if not moves:
+            return
+        for move in moves:
+            self._split(service, move.first, move.last)
+        sources = [
+            hold
+            for hold in self._of(service)
+            if any(m.first <= hold.range.first <= m.last for m in moves)
+        ]
+        for hold in sources:
+            hold.frozen = True
+        calls = []
+        for hold in sources:
+            instance = self._around.instance(hold.range.instance)
+            known = instance or hold.last_known
+            if known is not None:
+                calls.append(self._release(hold, known))
+        await asyncio.gather(*calls)
+        free = [hold for hold in sources if hold.free]
+        done = [
+            move
+            for move in moves
+            if all(
+                hold.free
+                for hold in sources
+                if move.first <= hold.range.first <= move.last
+            )
+        ]
+        free = [
+            hold
+            for hold in free
+            if any(m.first <= hold.range.first <= m.last for m in done)
+        ]
+        if free and self._has_authority():
+            await self._hand_over(service, free, done, "balance")
+
+    def _split(self, service: str, first: int, last: int) -> None:
+        """Cut holds so that the range from first to last has holds of its own."""
+        result = []
+        for hold in self._holds:
+            one = hold.range
+            if hold.service != service or one.last < first or one.first > last:
+                result.append(hold)
+                continue
+            inside = one._replace(first=max(one.first, first), last=min(one.last, last))
+            parts = [*core.cut((one,), first, last), inside]
+            result += [dataclasses.replace(hold, range=part) for part in parts]
+        self._holds = result
+
+    def _of(self, service: str) -> list[_Hold]:
+        return [hold for hold in self._holds if hold.service == service]
--- /dev/null
+++ b/src/wasabivalve/key_leases/core.py
@@ -0,0 +1,84 @@
+"""Hold which instance is recorded for each range of keys."""
+
+import bisect
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+
+KEYS = 65_536
+"""Keys of a divided service are numbered from 0 to 65535."""
+
+TOKEN_BITS = 20
+"""Low bits of a token that count the grants of one term."""
+
+
+class KeyRange(NamedTuple):
+    """Name the recorded holder of a range; both ends belong to it."""
+
+    first: int
+    last: int
+    instance: str
+    born: int
+
+
+class KeyMap(NamedTuple):
+    """Hold all recorded ranges, the term and the controller that wrote them.
+
+    ``term`` is the position of the claim in the ledger: it only rises. ``writer`` is
+    unique to one life of a controller and ``number`` counts its writes.
+    """
+
+    term: int
+    controller: str
+    writer: str
+    number: int
+    ranges_by_service: Mapping[str, tuple[KeyRange, ...]]
+
+    def find(self, service: str, key: int) -> KeyRange | None:
+        """Return the range of a key, or None where none is recorded."""
+        ranges = self.ranges_by_service.get(service, ())
+        index = bisect.bisect_right(ranges, key, key=lambda one: one.first) - 1
+        if index < 0 or ranges[index].last < key:
+            return None
+        return ranges[index]
+
+
+EMPTY = KeyMap(-1, "", "", 0, {})
+
+
+def encode(key_map: KeyMap) -> bytes:
+    """Return the bytes of a map."""
+    return msgspec.msgpack.encode(key_map)
+
+
+def decode(data: bytes) -> KeyMap:
+    """Return a map; raise ``msgspec.DecodeError`` for other bytes."""
+    return msgspec.msgpack.decode(data, type=KeyMap)
+
+
+def token(term: int, step: int) -> int:
+    """Return the fencing token of a grant; higher terms give higher tokens."""
+    return (term << TOKEN_BITS) | step
+
+
+def merge(ranges: list[KeyRange]) -> tuple[KeyRange, ...]:
+    """Return the ranges in order, with neighbours of one holder joined."""
+    merged: list[KeyRange] = []
+    for one in sorted(ranges):
+        if merged and merged[-1].last + 1 == one.first and merged[-1][2:] == one[2:]:
+            merged[-1] = merged[-1]._replace(last=one.last)
+        else:
+            merged.append(one)
+    return tuple(merged)
+
+
+def cut(ranges: tuple[KeyRange, ...], first: int, last: int) -> list[KeyRange]:
+    """Return the parts of the ranges that lie outside of first to last."""
+    kept = []
+    for one in ranges:
+        if one.first < first:
+            kept.append(one._replace(last=min(one.last, first - 1)))
+        if one.last > last:
+            kept.append(one._replace(first=max(one.first, last + 1)))
+    return [one for one in kept if one.first <= one.last]
--- /dev/null
+++ b/src/wasabivalve/keyed_log/__init__.py
@@ -0,0 +1,21 @@
+"""Topics of a log that keep the newest record of each key."""
+
+from .core import (
+    Batch,
+    Listing,
+    Record,
+    Source,
+    TopicFollower,
+    Trimmed,
+    Unavailable,
+)
+
+__all__ = [
+    "Batch",
+    "Listing",
+    "Record",
+    "Source",
+    "TopicFollower",
+    "Trimmed",
+    "Unavailable",
+]
--- /dev/null
+++ b/src/wasabivalve/placement/core.py
@@ -0,0 +1,194 @@
+"""Choose the instance of a service that gets a request.
+
+The load that this answers: instances with 2 or 3 slots and a short queue, shared by
+several VMs that each see only their own requests and the load that answers report.
+"""
+
+import math
+from collections.abc import Collection, Iterable, Mapping
+from typing import NamedTuple
+
+SERVICE_TIME_WEIGHT = 0.15
+"""Weight of the newest sample in the moving average of the service time."""
+
+REPORT_HALF_TIME_MS = 300.0
+"""Half-time of the load that an answer reported; a few service times."""
+
+INITIAL_SERVICE_TIME_MS = 100.0
+"""Service time assumed until one was observed for the service."""
+
+COLD_FACTOR = 2.0
+"""An instance that has just started takes about twice as long."""
+
+CROSSING_SHARE_PER_KB = 0.045
+"""Share of the target latency that keeping one KB inside the data centre is worth."""
+
+LARGEST_CROSSING_SHARE = 0.4
+REGION_CROSSING_FACTOR = 1.25
+"""Bytes between regions cost a quarter more than between data centres."""
+
+FIRST_PAUSE_MS = 500.0
+LONGEST_PAUSE_MS = 8_000.0
+"""A failing instance is left out for a time that doubles with each failure in a row."""
+
+QUEUE_ALLOWANCE = 4
+"""Requests beyond its slots that an instance is trusted to queue."""
+
+OWN_ALLOWANCE = 2
+"""Requests beyond the slots that one VM sends to an instance at once."""
+
+RECENT_ERROR_WEIGHT = 0.2
+ERROR_PENALTY = 4.0
+"""An instance that fails every request looks this many times slower."""
+
+
+class Instance(NamedTuple):
+    """Describe a registered instance; ``born`` is in ms of Unix time."""
+
+    id: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    draining: bool
+    warmup_left_ms: float
+    born: int
+    sequence: int
+
+
+class Places(NamedTuple):
+    """Tell where this VM stands and which region each data centre is in."""
+
+    data_centre: str
+    region_by_data_centre: Mapping[str, str]
+
+    def distance(self, data_centre: str) -> int:
+        """Return 0 inside the data centre, 1 inside the region, else 2."""
+        if data_centre == self.data_centre:
+            return 0
+        regions = self.region_by_data_centre
+        own = regions.get(self.data_centre)
+        return 1 if own is not None and regions.get(data_centre) == own else 2
+
+
+class InstanceLoad:
+    """Hold what this VM observed of one life of an instance; times in ms."""
+
+    def __init__(self, instance: Instance, now: float) -> None:
+        self.instance = instance
+        self.in_flight = 0
+        self.samples = 0
+        self.service_time_ms = 0.0
+        self.error_share = 0.0
+        self.round_trip_ms = 0.0
+        self.warm_at = now + instance.warmup_left_ms
+        self.paused_until = -math.inf
+        self._failures_in_a_row = 0
+        self._others = 0.0
+        self._reported_at = now
+
+    def on_report(self, running: int, waiting: int, now: float) -> None:
+        """Take in the load that an answer reported."""
+        self._others = max(0.0, running + waiting - self.in_flight)
+        self._reported_at = now
+
+    def load(self, now: float) -> float:
+        """Return the estimated number of requests at the instance."""
+        age = now - self._reported_at
+        return self.in_flight + self._others * 0.5 ** (age / REPORT_HALF_TIME_MS)
+
+    def on_answer(self, duration_ms: float, load_at_start: float, now: float) -> None:
+        """Record an answer; the part of the time spent queued is taken off."""
+        slots = max(1, self.instance.slots)
+        turns = max(1.0, (load_at_start + 1.0) / slots)
+        sample = max(1.0, duration_ms - self.round_trip_ms) / turns
+        weight = SERVICE_TIME_WEIGHT if self.samples else 1.0
+        self.service_time_ms += weight * (sample - self.service_time_ms)
+        self.samples += 1
+        self._failures_in_a_row = 0
+        self.paused_until = -math.inf
+        self.error_share *= 1.0 - RECENT_ERROR_WEIGHT
+
+    def on_error_answer(self) -> None:
+        """Record an answer that reports a failure of the instance."""
+        self.error_share += RECENT_ERROR_WEIGHT * (1.0 - self.error_share)
+
+    def on_failure(self, now: float, connected: bool) -> None:
+        """Record a refused connection, or one that broke or went silent.
+
+        One broken connection says little of its instance; two in a row do.
+        """
+        self.on_error_answer()
+        if now < self.paused_until:
+            return
+        if connected and self._failures_in_a_row == 0:
+            self._failures_in_a_row = 1
+            return
+        pause = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2.0**self._failures_in_a_row)
+        self._failures_in_a_row += 1
+        self.paused_until = now + pause
+
+
+def estimate_ms(load: InstanceLoad, service_time_ms: float, now: float) -> float:
+    """Return the estimated time until an answer if a request is sent now."""
+    slots = max(1, load.instance.slots)
+    own = load.service_time_ms if load.samples else service_time_ms
+    if now < load.warm_at and not load.samples:
+        own *= COLD_FACTOR
+    turns = max(1.0, (load.load(now) + 1.0) / slots)
+    return load.round_trip_ms + own * turns * (1.0 + ERROR_PENALTY * load.error_share)
+
+
+def has_room(load: InstanceLoad, now: float) -> bool:
+    """Return whether the instance can be trusted to queue one more request."""
+    slots = load.instance.slots
+    if load.in_flight >= slots + OWN_ALLOWANCE:
+        return False
+    return load.load(now) < slots + QUEUE_ALLOWANCE
+
+
+def crossing_cost_ms(
+    distance: int, target_latency_ms: float, kilobytes: float
+) -> float:
+    """Return the waiting time that staying inside the data centre is worth."""
+    if distance == 0:
+        return 0.0
+    share = min(LARGEST_CROSSING_SHARE, CROSSING_SHARE_PER_KB * kilobytes)
+    factor = REGION_CROSSING_FACTOR if distance == 2 else 1.0
+    return share * factor * target_latency_ms
+
+
+class Choice(NamedTuple):
+    """Name the chosen instance and the time until its answer in ms."""
+
+    load: InstanceLoad
+    estimate_ms: float
+
+
+def choose(
+    loads: Iterable[InstanceLoad],
+    places: Places,
+    service_time_ms: float,
+    target_latency_ms: float,
+    kilobytes: float,
+    excluded: Collection[str],
+    now: float,
+) -> Choice | None:
+    """Return the cheapest instance with room, or None."""
+    best: Choice | None = None
+    best_cost = math.inf
+    for load in loads:
+        instance = load.instance
+        if instance.draining or instance.id in excluded:
+            continue
+        if now < load.paused_until or not has_room(load, now):
+            continue
+        estimate = estimate_ms(load, service_time_ms, now)
+        distance = places.distance(instance.data_centre)
+        # An instance that joined gets a first request from every VM, wherever it is.
+        crossing = crossing_cost_ms(distance, target_latency_ms, kilobytes)
+        cost = estimate + (crossing if load.samples else 0.5 * crossing)
+        if cost < best_cost:
+            best, best_cost = Choice(load, estimate), cost
+    return best
--- /dev/null
+++ b/src/wasabivalve/platform/core.py
@@ -0,0 +1,432 @@
+"""Run one entry VM on the platform."""
+
+import asyncio
+import pathlib
+import random
+import time
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from wasabivalve import events
+from wasabivalve.desired_state import core as desired_state
+from wasabivalve.gateway import caller_connection, messages
+from wasabivalve.gateway import core as gateway
+from wasabivalve.key_leases import controller, key_loads
+from wasabivalve.key_leases import core as key_leases
+from wasabivalve.keyed_log import core as keyed_log
+from wasabivalve.placement import core as placement
+from wasabivalve.placement import directory
+
+from . import desired_state as desired_state_decoder
+from . import grants, headers, instances, settings, store
+
+OPERATOR_TOPIC = "keyed.op"
+OPERATOR_KEY = "config"
+SERVERS_TOPIC = "keyed.servers"
+LEDGER_TOPIC = "keyed.wasabivalve.keys"
+LEDGER_KEY = "map"
+VMS_TOPIC = "keyed.wasabivalve.vms"
+GROUP = "wasabivalve.controller"
+GROUP_TOPIC = "wasabivalve.controller"
+LEADER_PART = 0
+"""The VM that holds this partition of the group's topic is the controller."""
+
+READINESS_PATH = "/api/readiness"
+
+SERVERS_INTERVAL_S = 0.8
+"""Instances must get no request 2.5 s after they left; each call is priced."""
+
+STATE_WAIT_S = 1.5
+"""Desired states must be in force within 2.5 s, also if a connection went silent."""
+
+LEDGER_WAIT_S = 2.0
+VMS_INTERVAL_S = 8.0
+"""The number of VMs only divides budgets, with a reserve."""
+
+JOIN_INTERVAL_S = 0.5
+GROUP_TTL_S = 1.6
+"""Time without a call after which another VM becomes the controller."""
+
+TICK_S = 0.25
+SECOND_MS = 1000.0
+
+EXIT_RESERVE_MS = 700.0
+"""Time before the platform kills the process by which it has ended itself."""
+
+ROTATION_S = 2.6
+"""The platform checks readiness once a second and takes a VM out after two misses."""
+
+
+def _boot_ms() -> float:
+    """Return ms since boot, time for which the machine was suspended included."""
+    return SECOND_MS * time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class _StatusFront:
+    """Serve the readiness check."""
+
+    def __init__(self, vm: "EntryVM") -> None:
+        self.stopping = False
+        self._vm = vm
+
+    def limits(self) -> desired_state.CallerLimits:
+        """Return limits for a checker."""
+        return caller_connection.DEFAULT_LIMITS
+
+    async def handle(self, request: messages.Request) -> messages.Answer:
+        """Return 200 while this VM takes requests."""
+        if request.path != READINESS_PATH:
+            return messages.own_answer(404, "there is nothing here")
+        if self._vm.is_ready():
+            return messages.own_answer(200, "ready")
+        return messages.own_answer(503, "not ready")
+
+    def on_open(self, connection: caller_connection.CallerConnection) -> None:
+        """Do nothing; these connections need no drain."""
+
+    def on_closed(self, connection: caller_connection.CallerConnection) -> None:
+        """Do nothing."""
+
+
+class EntryVM:
+    """Serve callers of one VM and control keys while it leads."""
+
+    def __init__(self, loaded: settings.Settings) -> None:
+        self._settings = loaded
+        self._loop = asyncio.get_running_loop()
+        self._generator = random.Random()
+        self._store = store.Store(loaded.store)
+        self._orders = grants.Orders()
+        self._state: desired_state.DesiredState | None = None
+        self._map = key_leases.EMPTY
+        self._vms: set[str] = {loaded.vm}
+        self._listed = False
+        self._ledger_listed = False
+        self._stopping = False
+        self._generation = 0
+        self._loads = key_loads.KeyLoads()
+        self._directory = directory.InstanceDirectory(self._on_instance)
+        places = placement.Places(loaded.data_centre, loaded.region_by_data_centre)
+        self._gateway = gateway.Gateway(
+            headers.DIALECT,
+            places,
+            gateway.Bounds(
+                loaded.repeat_share, loaded.repeat_window_ms, loaded.repeat_allowance
+            ),
+            gateway.Surroundings(
+                self._instances,
+                self._owner,
+                lambda: len(self._vms),
+                lambda service, key: self._loads.on_key(service, key, self._now_ms()),
+            ),
+        )
+        self._controller = controller.Controller(
+            loaded.vm,
+            loaded.hold_max_ms,
+            controller.Calls(
+                _boot_ms,
+                self._read_ledger,
+                self._append_ledger,
+                self._orders.grant,
+                self._orders.release,
+            ),
+            controller.Surroundings(
+                self._divided_services,
+                self._directory.instance_by_id.get,
+                self._instances,
+                self._speed,
+                lambda service: self._loads.by_bucket(service, self._now_ms()),
+                self._take_map,
+            ),
+        )
+        self._status: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def is_ready(self) -> bool:
+        """Return whether this VM takes requests."""
+        return self._state is not None and self._listed and not self._stopping
+
+    async def start(self) -> None:
+        """Listen and follow the store."""
+        callers, readiness = self._settings.callers, self._settings.readiness
+        await self._gateway.start(callers.host, callers.port)
+        front = _StatusFront(self)
+        self._status = await self._loop.create_server(
+            lambda: caller_connection.CallerConnection(front),
+            readiness.host,
+            readiness.port,
+            reuse_address=True,
+        )
+        self._controller.start()
+        followers = (
+            self._follower(
+                OPERATOR_TOPIC,
+                self._on_operator_listing,
+                self._on_operator_record,
+                0.0,
+                STATE_WAIT_S,
+            ),
+            self._follower(
+                SERVERS_TOPIC,
+                self._on_servers_listing,
+                self._on_server_record,
+                SERVERS_INTERVAL_S,
+                0.0,
+            ),
+            self._follower(
+                LEDGER_TOPIC,
+                self._on_ledger_listing,
+                self._on_ledger_record,
+                0.0,
+                LEDGER_WAIT_S,
+            ),
+            self._follower(
+                VMS_TOPIC, self._on_vms_listing, self._on_vm_record, VMS_INTERVAL_S, 0.0
+            ),
+        )
+        self._tasks = [self._loop.create_task(one.run()) for one in followers]
+        self._tasks.append(self._loop.create_task(self._keep_membership()))
+        self._tasks.append(self._loop.create_task(self._tick()))
+        events.emit(1, vm=self._settings.vm, data_centre=self._settings.data_centre)
+
+    async def close(self) -> None:
+        """Leave the rotation, finish the requests in work and stop."""
+        started = self._loop.time()
+        events.emit(2, vm=self._settings.vm, in_work=self._gateway.busy)
+        self._stopping = self._gateway.stopping = True
+        self._controller.on_follower("this VM stops")
+        leave = self._loop.create_task(self._store.leave(GROUP, self._settings.vm))
+        grace_s = (self._settings.grace_ms - EXIT_RESERVE_MS) / SECOND_MS
+        rotation_s = min(ROTATION_S, 0.6 * grace_s)
+        await asyncio.sleep(rotation_s)
+        while self._loop.time() < started + grace_s:
+            self._gateway.close_idle_callers()
+            if not self._gateway.busy:
+                break
+            await asyncio.sleep(0.05)
+        for task in (leave, *self._tasks):
+            task.cancel()
+        self._controller.close()
+        self._gateway.close()
+        self._orders.close()
+        self._store.close()
+        if self._status is not None:
+            self._status.close()
+        events.emit(3, vm=self._settings.vm, in_work=self._gateway.busy)
+
+    def reload(self, path: pathlib.Path) -> None:
+        """Read the settings again; what runs keeps its addresses."""
+        loaded = settings.load(path)
+        if isinstance(loaded, settings.Rejected):
+            for finding in loaded.findings:
+                events.emit(4, finding=str(finding))
+            return
+        events.emit(6, vm=loaded.vm, changed=loaded != self._settings)
+
+    def _now_ms(self) -> float:
+        return SECOND_MS * self._loop.time()
+
+    def _follower(
+        self,
+        topic: str,
+        on_listing: Callable[[list[keyed_log.Record]], None],
+        on_record: Callable[[keyed_log.Record], None],
+        interval_s: float,
+        wait_s: float,
+    ) -> keyed_log.TopicFollower:
+        async def listing() -> keyed_log.Listing | keyed_log.Unavailable:
+            return await self._store.newest(topic)
+
+        async def read(
+            offset: int, wait: float
+        ) -> keyed_log.Batch | keyed_log.Trimmed | keyed_log.Unavailable:
+            return await self._store.read(topic, offset, wait)
+
+        handlers = keyed_log.Handlers(
+            on_listing, on_record, self._on_contact, self._on_outage
+        )
+        return keyed_log.TopicFollower(
+            topic,
+            keyed_log.Source(listing, read),
+            handlers,
+            interval_s,
+            wait_s,
+            self._generator,
+        )
+
+    # Desired state.
+
+    def _on_operator_listing(self, records: Sequence[keyed_log.Record]) -> None:
+        for record in records:
+            self._on_operator_record(record)
+
+    def _on_operator_record(self, record: keyed_log.Record) -> None:
+        if record.key != OPERATOR_KEY or record.value is None:
+            return
+        try:
+            state = desired_state_decoder.decode(record.value)
+        except desired_state_decoder.Malformed as error:
+            events.emit(503, offset=record.offset, problem=str(error))
+            return
+        if self._state is not None and state.version <= self._state.version:
+            return
+        self._state = state
+        self._gateway.set_state(state)
+        events.emit(
+            500, version=state.version, offset=record.offset, routes=len(state.routes)
+        )
+
+    # Instances.
+
+    def _on_servers_listing(self, records: Sequence[keyed_log.Record]) -> None:
+        decoded = [
+            instance
+            for record in records
+            if (instance := self._decode_instance(record)) is not None
+        ]
+        self._directory.on_listing(decoded, self._now_ms())
+        if not self._listed:
+            self._listed = True
+            events.emit(320, instances=len(decoded))
+
+    def _on_server_record(self, record: keyed_log.Record) -> None:
+        if record.value is None:
+            self._directory.on_removed(record.key, self._now_ms())
+            return
+        instance = self._decode_instance(record)
+        if instance is not None:
+            self._directory.on_entry(instance)
+
+    def _decode_instance(self, record: keyed_log.Record) -> placement.Instance | None:
+        try:
+            return instances.decode(record.key, record.value or b"")
+        except instances.Malformed as error:
+            events.emit(323, instance=record.key[:40], problem=str(error))
+            return None
+
+    def _on_instance(
+        self, before: placement.Instance | None, after: placement.Instance | None
+    ) -> None:
+        self._gateway.on_instance_change(before, after)
+        known = after or before
+        assert known is not None
+        events.emit(
+            321 if after is not None else 322,
+            instance=known.id,
+            service=known.service,
+            born=known.born,
+            draining=known.draining,
+        )
+
+    def _instances(self, service: str) -> list[placement.Instance]:
+        return [
+            one
+            for one in self._directory.instance_by_id.values()
+            if one.service == service
+        ]
+
+    def _on_contact(self) -> None:
+        self._directory.on_contact(self._now_ms())
+
+    def _on_outage(self, reason: str) -> None:
+        self._directory.on_outage()
+
+    # Keys.
+
+    def _on_ledger_listing(self, records: Sequence[keyed_log.Record]) -> None:
+        for record in records:
+            self._on_ledger_record(record)
+
+    def _on_ledger_record(self, record: keyed_log.Record) -> None:
+        if record.key != LEDGER_KEY or record.value is None:
+            return
+        try:
+            key_map = key_leases.decode(record.value)
+        except msgspec.DecodeError as error:
+            events.emit(203, topic=LEDGER_TOPIC, offset=record.offset, error=str(error))
+            return
+        self._take_map(key_map)
+
+    def _take_map(self, key_map: key_leases.KeyMap) -> None:
+        newest = (self._map.term, self._map.number)
+        if (key_map.term, key_map.number) > newest:
+            self._map = key_map
+            self._gateway.wake_all()
+
+    def _owner(self, service: str, key: int) -> str | None:
+        found = self._map.find(service, key)
+        return None if found is None else found.instance
+
+    def _divided_services(self) -> list[str]:
+        if self._state is None:
+            return []
+        services = self._state.service_by_name.values()
+        return [service.name for service in services if service.divided]
+
+    def _speed(self, instance: placement.Instance) -> float:
+        return self._gateway.speed(instance)
+
+    async def _read_ledger(self) -> controller.Ledger | None:
+        listing = await self._store.newest(LEDGER_TOPIC)
+        if isinstance(listing, keyed_log.Unavailable):
+            return None
+        for record in listing.records:
+            if record.key != LEDGER_KEY or record.value is None:
+                continue
+            if record.offset != listing.end - 1:
+                # A record was added between the row and the end of this page.
+                return None
+            try:
+                return controller.Ledger(key_leases.decode(record.value), listing.end)
+            except msgspec.DecodeError as error:
+                events.emit(
+                    203, topic=LEDGER_TOPIC, offset=record.offset, error=str(error)
+                )
+                return None
+        return controller.Ledger(key_leases.EMPTY, listing.end)
+
+    async def _append_ledger(
+        self, key_map: key_leases.KeyMap, at: int
+    ) -> controller.AppendResult:
+        data = key_leases.encode(key_map)
+        return await self._store.append(LEDGER_TOPIC, LEDGER_KEY, data, at)
+
+    # Membership.
+
+    def _on_vms_listing(self, records: Sequence[keyed_log.Record]) -> None:
+        self._vms = {record.key for record in records} | {self._settings.vm}
+
+    def _on_vm_record(self, record: keyed_log.Record) -> None:
+        if record.value is None:
+            self._vms.discard(record.key)
+        else:
+            self._vms.add(record.key)
+
+    async def _keep_membership(self) -> None:
+        vm = self._settings.vm
+        where = self._settings.data_centre.encode()
+        while await self._store.append(VMS_TOPIC, vm, where) != "done":
+            await asyncio.sleep(JOIN_INTERVAL_S)
+        ttl_s = max(GROUP_TTL_S, self._settings.group_ttl_ms / SECOND_MS)
+        while not self._stopping:
+            if self.is_ready():
+                await self._join(vm, ttl_s)
+            await asyncio.sleep(JOIN_INTERVAL_S)
+
+    async def _join(self, vm: str, ttl_s: float) -> None:
+        sent_at = _boot_ms()
+        joined = await self._store.join(GROUP, vm, GROUP_TOPIC, ttl_s, self._generation)
+        if isinstance(joined, keyed_log.Unavailable) or self._stopping:
+            return
+        self._generation = joined.generation
+        if LEADER_PART in joined.parts:
+            self._controller.on_leader(sent_at)
+        else:
+            self._controller.on_follower("the registry named another VM")
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._directory.tick(self._now_ms())
+            self._gateway.pool.close_expired(self._loop.time())
--- /dev/null
+++ b/src/wasabivalve/platform/grants.py
@@ -0,0 +1,115 @@
+"""Order instances to hold keys and to give them up."""
+
+import asyncio
+
+import msgspec
+
+from wasabivalve.gateway import messages, upstream_connection
+from wasabivalve.key_leases import controller
+from wasabivalve.placement import core as placement
+
+CONNECT_TIMEOUT_S = 0.4
+IDLE_TRUST_S = 4.0
+"""Renewals use a connection about once a second; one idle for longer is replaced."""
+
+
+class Orders:
+    """Hold one connection for orders to each instance."""
+
+    def __init__(self) -> None:
+        self._idle: dict[tuple[str, int], upstream_connection.UpstreamConnection] = {}
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in self._idle.values():
+            connection.close()
+        self._idle.clear()
+
+    async def grant(
+        self,
+        instance: placement.Instance,
+        first: int,
+        last: int,
+        token: int,
+        hold_s: float,
+        handover: str | None,
+        timeout_ms: float,
+    ) -> controller.GrantResult:
+        """Grant a range, or renew the grant of the same token."""
+        # ``fence`` is the fencing token; ``target`` the last key of the range.
+        body: dict[str, object] = {
+            "from": first,
+            "target": last,
+            "fence": token,
+            "hold_s": hold_s,
+        }
+        if handover is not None:
+            body["handover"] = handover
+        answer = await self._call(instance, b"/api/grant", body, timeout_ms)
+        if answer is None:
+            return "no_answer"
+        if answer.status == 200:
+            return "granted"
+        return "refused" if answer.status == 409 else "no_answer"
+
+    async def release(
+        self,
+        instance: placement.Instance,
+        first: int,
+        last: int,
+        token: int,
+        timeout_ms: float,
+    ) -> controller.Released | None:
+        """Take a range back; the answer comes once the work on it has ended."""
+        body: dict[str, object] = {"from": first, "target": last, "fence": token}
+        answer = await self._call(instance, b"/api/release", body, timeout_ms)
+        if answer is None or answer.status != 200:
+            return None
+        value = answer.header(b"handover")
+        return controller.Released(value.decode("latin-1") if value else None)
+
+    async def _call(
+        self,
+        instance: placement.Instance,
+        target: bytes,
+        body: dict[str, object],
+        timeout_ms: float,
+    ) -> messages.Answer | None:
+        name = (instance.id, instance.born)
+        headers = [
+            (b"host", f"{instance.host}:{instance.port}".encode()),
+            (b"content-type", b"application/json"),
+            (b"expected-instance", instance.id.encode()),
+        ]
+        data = messages.encode_request(
+            b"POST", target, headers, msgspec.json.encode(body), False
+        )
+        connection = self._idle.pop(name, None)
+        now = asyncio.get_running_loop().time()
+        if connection is not None and (
+            not connection.usable or now - connection.idle_since > IDLE_TRUST_S
+        ):
+            connection.abort()
+            connection = None
+        if connection is None:
+            opened = await upstream_connection.connect(
+                instance.host, instance.port, CONNECT_TIMEOUT_S
+            )
+            if isinstance(opened, upstream_connection.NotSent):
+                return None
+            connection = opened
+        kept = False
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                outcome = await connection.exchange(data)
+            kept = connection.usable and isinstance(outcome, messages.Answer)
+            return outcome if isinstance(outcome, messages.Answer) else None
+        except TimeoutError:
+            return None
+        finally:
+            # A reset keeps an order that is still on its way from arriving late.
+            if kept and name not in self._idle:
+                connection.end_exchange(asyncio.get_running_loop().time())
+                self._idle[name] = connection
+            else:
+                connection.abort()
--- a/src/wasabivalve/retries/__init__.py
+++ b/src/wasabivalve/retries/__init__.py
@@ -9,9 +9,11 @@
     backoff_ms,
     next_attempt,
 )
+from .window import RepeatWindow
 
 __all__ = [
     "AttemptedRequest",
+    "RepeatWindow",
     "Retry",
     "RetryBudget",
     "Stop",
