--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -13,11 +13,13 @@
     (100, "WARNING", "message from a peer was dropped"),
     (101, "INFO", "peer is live"),
     (102, "WARNING", "peer is suspected"),
+    (103, "WARNING", "datagram did not reach its VM"),
     # Log, 200 to 299.
     (200, "WARNING", "log service is unavailable"),
     (201, "INFO", "log service is available again"),
     (202, "ERROR", "records were missed because retention removed them"),
     (203, "WARNING", "record was ignored because its schema is unknown"),
+    (204, "INFO", "calls to the store since the last line"),
     # Ownership, 300 to 399.
     (300, "INFO", "authority over a shard was gained"),
     (301, "WARNING", "authority over a shard was lost"),
@@ -28,6 +30,7 @@
     (311, "WARNING", "this VM stopped controlling keys"),
     (312, "INFO", "claim of a term was not confirmed"),
     (313, "WARNING", "grant was not confirmed"),
+    (314, "WARNING", "holder of keys is overloaded"),
     # Instances, 320 to 349.
     (320, "INFO", "instances were listed"),
     (321, "INFO", "instance joined or changed"),
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -7,6 +7,7 @@
 
 from wasabivalve import events, retries
 from wasabivalve.desired_state import core as desired_state
+from wasabivalve.key_leases import view as key_view
 from wasabivalve.placement import core as placement
 
 from . import caller_connection, messages, pool, upstream_connection, waiting
@@ -24,13 +25,19 @@
 LONGEST_RETRY_AFTER_S = 1.0
 """Bounds of Retry-After; callers wait at most a third of their time."""
 
+MOST_REFUSED_SENDS = 6
+"""Sends of one request that instances may refuse; its attempts count runs only."""
+
+LONGEST_MOVE_S = 0.4
+"""Part of the announced time of a move that is usually not needed."""
+
 MOVED_WAIT_S = 0.12
 """Wait after an instance says that it does not hold a key, while the key moves."""
 
 LONGEST_SLEEP_S = 0.05
 """A waiting request looks for room at least this often, as estimates age by time."""
 
-WAIT_SHARE = 0.75
+WAIT_SHARE = 0.6
 """Share of the time of a request that it may wait for room."""
 
 SIZE_WEIGHT = 0.1
@@ -54,12 +61,12 @@
 class Surroundings(NamedTuple):
     """Give the gateway what other parts know.
 
-    ``owner`` names the instance that holds a key of a divided service, or None;
+    ``owner`` names the instance that holds a key of a divided service;
     ``live_vms`` is the number of entry VMs; ``on_key`` counts requests by key.
     """
 
     instances: Callable[[str], list[placement.Instance]]
-    owner: Callable[[str, int], str | None]
+    owner: Callable[[str, int], key_view.Holder]
     live_vms: Callable[[], int]
     on_key: Callable[[str, int], None]
 
@@ -91,6 +98,7 @@
         self.attempts = 0
         self.may_have_run = False
         self.excluded: set[str] = set()
+        self.sends = 0
         self.moved_from: str | None = None
         self.not_before = 0.0
         self.last_failure: messages.Answer | None = None
@@ -122,6 +130,7 @@
         self._service_time_by_route: dict[str, float] = {}
         self._kilobytes_by_route: dict[str, float] = {}
         self._connections: set[caller_connection.CallerConnection] = set()
+        self._owners_changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
 
@@ -182,12 +191,13 @@
             self._load_by_life.pop(pool.Life(before.id, before.born), None)
             self.pool.close_idle(before)
         for line in self._line_by_name.values():
-            line.wake_first()
+            line.wake_first(asyncio.get_running_loop().time())
 
-    def wake_all(self) -> None:
-        """Let waiting requests look again, as owners have changed."""
+    def on_owners_changed(self) -> None:
+        """Let waiting requests look again, as keys have other holders."""
+        self._owners_changed.set()
         for line in self._line_by_name.values():
-            line.wake_first()
+            line.wake_first(asyncio.get_running_loop().time())
 
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Return the answer to a request; cancelled when its caller leaves."""
@@ -258,7 +268,7 @@
             choice = await self._find_room(work)
             if choice is None:
                 return self._give_up(work)
-            if work.attempts and not self._may_repeat(work):
+            if (work.attempts or work.sends) and not self._may_repeat(work):
                 return self._give_up(work)
             attempt = await self._attempt(work, choice.load)
             answer = self._judge(work, choice.load, attempt)
@@ -279,54 +289,88 @@
     async def _find_room(self, work: _Work) -> placement.Choice | None:
         """Wait for an instance with room; None when the request is hopeless."""
         assert self._loop is not None
-        line = self._line(work)
+        give_up_at = self._give_up_at(work)
+        while True:
+            if not await self._wait_for_owner(work, give_up_at):
+                return None
+            name = self._line_name(work)
+            line = self._line(name)
+            if not len(line):
+                choice = self._choose(work)
+                if choice is not None:
+                    return choice
+            now = self._loop.time()
+            service_time_s = self._service_time_ms(work.route) / 1000.0
+            start_by = self._start_by(work)
+            expected = line.expected_wait_s(work.route.rank, start_by, now)
+            if expected + HOPELESS_SHARE * service_time_s > work.end_at - now:
+                work.trail.append("hopeless")
+                return None
+            waiter = line.join(work.route.rank, start_by)
+            try:
+                while self._line_name(work) == name:
+                    if line.is_first(waiter, self._loop.time()):
+                        choice = self._choose(work)
+                        if choice is not None:
+                            return choice
+                    if not await self._pause(waiter.wake, give_up_at):
+                        work.trail.append("no-room")
+                        return None
+            finally:
+                line.leave(waiter)
+                line.wake_first(self._loop.time())
+
+    def _start_by(self, work: _Work) -> float:
+        """Return the time by which a request must start to meet its target."""
+        spare = work.route.target_latency_ms - self._service_time_ms(work.route)
+        return work.request.received_at + spare / 1000.0
+
+    def _give_up_at(self, work: _Work) -> float:
         service_time_s = self._service_time_ms(work.route) / 1000.0
-        if not len(line):
-            choice = self._choose(work)
-            if choice is not None:
-                return choice
-        now = self._loop.time()
-        left = work.end_at - now
-        expected = line.expected_wait_s(work.route.rank, now)
-        if expected + HOPELESS_SHARE * service_time_s > left:
-            work.trail.append("hopeless")
-            return None
         last_start = work.end_at - max(LEAST_ATTEMPT_S, HOPELESS_SHARE * service_time_s)
-        last_wait = work.request.received_at + WAIT_SHARE * (
-            work.end_at - work.request.received_at
-        )
-        give_up_at = min(last_start, last_wait)
-        waiter = line.join(work.route.rank, give_up_at)
+        total = work.end_at - work.request.received_at
+        return min(last_start, work.request.received_at + WAIT_SHARE * total)
+
+    async def _wait_for_owner(self, work: _Work, give_up_at: float) -> bool:
+        """Wait while the key of a request moves; return False when it is hopeless."""
+        assert self._loop is not None
+        if work.key is None:
+            return True
+        while True:
+            holder = self._surroundings.owner(work.service.name, work.key)
+            now = self._loop.time()
+            moved = holder.instance == work.moved_from and now < work.not_before
+            if holder.instance is not None and not moved:
+                return True
+            until = holder.moving_until
+            if until is not None and until / 1000.0 - LONGEST_MOVE_S > give_up_at:
+                work.trail.append("key-lost")
+                return False
+            if not await self._pause(self._owners_changed, give_up_at):
+                work.trail.append("key-moving")
+                return False
+
+    async def _pause(self, wake: asyncio.Event, give_up_at: float) -> bool:
+        """Wait for a short time or until woken; return False once time is up."""
+        assert self._loop is not None
+        left = give_up_at - self._loop.time()
+        if left <= 0.0:
+            return False
+        wake.clear()
         try:
-            while True:
-                if line.is_first(waiter):
-                    choice = self._choose(work)
-                    if choice is not None:
-                        return choice
-                now = self._loop.time()
-                if now >= give_up_at:
-                    work.trail.append("no-room")
-                    return None
-                pause = min(LONGEST_SLEEP_S, give_up_at - now)
-                waiter.wake.clear()
-                try:
-                    await asyncio.wait_for(waiter.wake.wait(), pause)
-                except TimeoutError:
-                    # The pause is over; estimates may have room now.
-                    pass
-        finally:
-            line.leave(waiter)
-            line.wake_first()
+            await asyncio.wait_for(wake.wait(), min(LONGEST_SLEEP_S, left))
+        except TimeoutError:
+            # The pause is over; estimates age with time and may have room now.
+            pass
+        return True
 
     def _choose(self, work: _Work) -> placement.Choice | None:
         assert self._loop is not None
         now = 1000.0 * self._loop.time()
         instances = self._surroundings.instances(work.service.name)
         if work.key is not None:
-            owner = self._surroundings.owner(work.service.name, work.key)
-            if owner == work.moved_from and self._loop.time() < work.not_before:
-                return None
-            instances = [one for one in instances if one.id == owner]
+            holder = self._surroundings.owner(work.service.name, work.key)
+            instances = [one for one in instances if one.id == holder.instance]
         loads = [self._load(instance, now) for instance in instances]
         return placement.choose(
             loads,
@@ -392,9 +436,9 @@
                 connection, upstream_connection.UpstreamConnection
             ):
                 self.pool.discard(instance, connection)
-            line = self._line(work)
+            line = self._line(self._line_name(work))
             line.on_answer(self._loop.time())
-            line.wake_first()
+            line.wake_first(self._loop.time())
 
     def _encode(self, work: _Work, instance: placement.Instance, now: float) -> bytes:
         dialect = self._dialect
@@ -480,6 +524,10 @@
             work.trail.append(f"not-run-{outcome.status}")
             work.excluded.add(instance.id)
             work.moved_from = instance.id
+            work.attempts -= 1
+            work.sends += 1
+            if work.sends >= MOST_REFUSED_SENDS:
+                return self._give_up(work)
             work.not_before = self._loop.time() + MOVED_WAIT_S
             return None
         if self._is_garbled(outcome):
@@ -521,8 +569,9 @@
             late = self._loop.time() >= work.end_at - LEAST_ATTEMPT_S
             status = 504 if late else 502
             return messages.own_answer(status, "it is not known whether it has run")
-        line = self._line(work)
-        expected = line.expected_wait_s(work.route.rank, self._loop.time())
+        line = self._line(self._line_name(work))
+        now = self._loop.time()
+        expected = line.expected_wait_s(work.route.rank, self._start_by(work), now)
         retry_after = min(
             LONGEST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, 0.5 * expected)
         )
@@ -536,11 +585,13 @@
         load.instance = instance
         return load
 
-    def _line(self, work: _Work) -> waiting.WaitingLine:
-        name = work.service.name
-        if work.key is not None:
-            owner = self._surroundings.owner(name, work.key)
-            name = f"{name}/{owner}"
+    def _line_name(self, work: _Work) -> str:
+        if work.key is None:
+            return work.service.name
+        holder = self._surroundings.owner(work.service.name, work.key)
+        return f"{work.service.name}/{holder.instance}"
+
+    def _line(self, name: str) -> waiting.WaitingLine:
         line = self._line_by_name.get(name)
         if line is None:
             line = self._line_by_name[name] = waiting.WaitingLine()
@@ -561,16 +612,20 @@
             route.name, placement.INITIAL_SERVICE_TIME_MS
         )
 
-    def speed(self, instance: placement.Instance) -> float:
-        """Return how fast an instance is, relative to the others of its service."""
-        own = self._load_by_life.get(pool.Life(instance.id, instance.born))
-        if own is None or own.samples < LEAST_SPEED_SAMPLES:
-            return 1.0
-        others = [
+    def capacity(self, instance: placement.Instance) -> float:
+        """Return the requests per second that an instance can serve."""
+        known = [
             load.service_time_ms
             for load in self._load_by_life.values()
             if load.instance.service == instance.service
             and load.samples >= LEAST_SPEED_SAMPLES
         ]
-        speed = statistics.median(others) / max(1.0, own.service_time_ms)
-        return min(FASTEST, max(SLOWEST, speed))
+        typical = (
+            statistics.median(known) if known else (placement.INITIAL_SERVICE_TIME_MS)
+        )
+        own = self._load_by_life.get(pool.Life(instance.id, instance.born))
+        service_time = typical
+        if own is not None and own.samples >= LEAST_SPEED_SAMPLES:
+            fastest, slowest = typical / FASTEST, typical / SLOWEST
+            service_time = min(slowest, max(fastest, own.service_time_ms))
+        return max(1, instance.slots) * 1000.0 / max(1.0, service_time)
--- a/src/wasabivalve/gateway/waiting.py
+++ b/src/wasabivalve/gateway/waiting.py
@@ -1,8 +1,11 @@
-"""Let requests wait for room at an instance, the most urgent first."""
+"""Let requests wait for room at an instance.
+
+The load that this answers: for seconds more requests come for an instance than it can
+serve. Served in their order, all of them would be late; so those that can still be on
+time go first, and among these the most urgent.
+"""
 
 import asyncio
-import heapq
-import itertools
 
 DRAIN_WINDOW_S = 1.5
 """Time over which the rate of answers is measured; several service times."""
@@ -12,68 +15,62 @@
 
 
 class Waiter:
-    """Hold one waiting request; ``wake`` is set when it should look for room."""
+    """Hold one waiting request; ``wake`` is set when it should look for room.
+
+    ``start_by`` is the time in s by which it must start to be on time.
+    """
 
-    def __init__(self, rank: int, give_up_at: float) -> None:
+    def __init__(self, rank: int, start_by: float) -> None:
         self.rank = rank
-        self.give_up_at = give_up_at
+        self.start_by = start_by
         self.wake = asyncio.Event()
 
+    def order(self, now: float) -> tuple[bool, int, float]:
+        """Return what decides who goes first: the lowest does."""
+        return (self.start_by < now, self.rank, self.start_by)
+
 
 class WaitingLine:
-    """Hold the requests that wait for one service or one instance."""
+    """Hold the requests that wait for one service or one instance; times in s."""
 
     def __init__(self) -> None:
-        self._heap: list[tuple[int, float, int, Waiter]] = []
-        self._left: set[Waiter] = set()
-        self._numbers = itertools.count()
+        self._waiters: list[Waiter] = []
         self._answered: list[float] = []
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
-        return len(self._heap) - len(self._left)
+        return len(self._waiters)
 
-    def join(self, rank: int, give_up_at: float) -> Waiter:
-        """Add a request; the most urgent goes first, then the nearest deadline."""
-        waiter = Waiter(rank, give_up_at)
-        entry = (rank, give_up_at, next(self._numbers), waiter)
-        heapq.heappush(self._heap, entry)
+    def join(self, rank: int, start_by: float) -> Waiter:
+        """Add a request."""
+        waiter = Waiter(rank, start_by)
+        self._waiters.append(waiter)
         return waiter
 
     def leave(self, waiter: Waiter) -> None:
         """Remove a request."""
-        self._left.add(waiter)
-        self._drop_left()
-
-    def ahead(self, rank: int) -> int:
-        """Return how many waiting requests go before one of this rank."""
-        return sum(
-            1
-            for entry_rank, _, _, waiter in self._heap
-            if entry_rank <= rank and waiter not in self._left
-        )
-
-    def is_first(self, waiter: Waiter) -> bool:
+        self._waiters.remove(waiter)
+
+    def is_first(self, waiter: Waiter, now: float) -> bool:
         """Return whether no other request goes before this one."""
-        self._drop_left()
-        return bool(self._heap) and self._heap[0][3] is waiter
+        return self._first(now) is waiter
 
-    def wake_first(self) -> None:
+    def wake_first(self, now: float) -> None:
         """Let the first request look for room."""
-        self._drop_left()
-        if self._heap:
-            self._heap[0][3].wake.set()
+        if self._waiters:
+            self._first(now).wake.set()
 
     def on_answer(self, now: float) -> None:
-        """Count an answer for the rate at which the line drains; ``now`` in s."""
+        """Count an answer for the rate at which the line drains."""
         self._answered.append(now)
         start = now - DRAIN_WINDOW_S
         while self._answered and self._answered[0] < start:
             self._answered.pop(0)
 
-    def expected_wait_s(self, rank: int, now: float) -> float:
-        """Return the time in s until a new request of this rank would be first."""
-        ahead = self.ahead(rank)
+    def expected_wait_s(self, rank: int, start_by: float, now: float) -> float:
+        """Return the time until such a request would be first, were it to join."""
+        order = Waiter(rank, start_by).order(now)
+        ahead = sum(1 for waiter in self._waiters if waiter.order(now) <= order)
         if not ahead:
             return 0.0
         recent = [at for at in self._answered if at > now - DRAIN_WINDOW_S]
@@ -81,6 +78,5 @@
             return 0.0
         return ahead * DRAIN_WINDOW_S / len(recent)
 
-    def _drop_left(self) -> None:
-        while self._heap and self._heap[0][3] in self._left:
-            self._left.discard(heapq.heappop(self._heap)[3])
+    def _first(self, now: float) -> Waiter:
+        return min(self._waiters, key=lambda waiter: waiter.order(now))
--- a/src/wasabivalve/key_leases/__init__.py
+++ b/src/wasabivalve/key_leases/__init__.py
@@ -2,13 +2,20 @@
 
 from .controller import Calls, Controller
 from .core import KeyMap, KeyRange, decode, encode
+from .key_loads import KeyLoads, LoadProfile
 from .planning import plan_loss, plan_moves
+from .view import Holder, KeyView, MovingRange
 
 __all__ = [
     "Calls",
     "Controller",
+    "Holder",
+    "KeyLoads",
     "KeyMap",
     "KeyRange",
+    "KeyView",
+    "LoadProfile",
+    "MovingRange",
     "decode",
     "encode",
     "plan_loss",
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -14,7 +14,7 @@
 from wasabivalve import events
 from wasabivalve.placement import core as placement
 
-from . import core, planning
+from . import core, key_loads, planning, view
 
 HOLD_MS = 4_000.0
 """Time for which a grant holds; a lost controller is replaced within about 2.5 s."""
@@ -25,8 +25,12 @@
 CLOCK_MARGIN = 1.03
 """A server's clock may run 2 % slow; the rest covers the way of the call."""
 
-ARRIVAL_MARGIN_MS = 250.0
-"""Time that a call may be under way before its hold begins."""
+LATEST_ARRIVAL_MS = 1_300.0
+"""Time after which a call without an answer certainly does not arrive any more.
+
+It covers opening the connection, the time limit of the call and one way of the
+network; the connection is reset then. The hold runs from the arrival.
+"""
 
 AUTHORITY_MS = 12_000.0
 """A controller renews for this long after the registry last confirmed it.
@@ -45,12 +49,18 @@
 """Renewals that fail for this long make an instance count as lost."""
 
 TICK_MS = 100.0
-BALANCE_INTERVAL_MS = 1_500.0
+BALANCE_INTERVAL_MS = 600.0
 """Interval of moves for balance; the load of a range takes about as long to show."""
 
-MOST_MOVES = 4
+OVERLOAD = 0.8
+"""Utilization from which an instance is logged as overloaded."""
+
+MOST_MOVES = 6
 """Moves of one round of balancing; each pauses its keys for a few round trips."""
 
+PLANNED_PAUSE_MS = 700.0
+"""Time for which VMs hold requests for moving keys; work on them must end first."""
+
 START_WAIT_MS = 700.0
 """Time for which the set of instances must be unchanged before the first plan."""
 
@@ -97,9 +107,11 @@
     divided_services: Callable[[], Sequence[str]]
     instance: Callable[[str], placement.Instance | None]
     instances: Callable[[str], Sequence[placement.Instance]]
-    speed: Callable[[placement.Instance], float]
-    load_by_bucket: Callable[[str], Sequence[float]]
+    capacity: Callable[[placement.Instance], float]
+    loads: Callable[[str], key_loads.LoadProfile]
     on_map: Callable[[core.KeyMap], None]
+    on_moving: Callable[[list[view.MovingRange], float], None]
+    on_settled: Callable[[int, int, str, list[core.KeyRange]], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,6 +130,7 @@
     free: bool = False
     handover: str | None = None
     last_known: placement.Instance | None = None
+    calls: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
 
 class Controller:
@@ -269,7 +282,7 @@
         return core.token(self._term, self._step)
 
     def _longest_hold_ms(self) -> float:
-        return self._hold_ms * CLOCK_MARGIN + ARRIVAL_MARGIN_MS
+        return self._hold_ms * CLOCK_MARGIN + LATEST_ARRIVAL_MS
 
     # Renewals.
 
@@ -285,15 +298,20 @@
                 continue
             hold.due_at = now + RENEWAL_MS
             hold.last_known = instance
-            self._start_call(self._grant(hold, instance))
+            self._start_call(self._grant(hold, instance), hold.calls)
 
-    def _start_call(self, call: Awaitable[None]) -> None:
+    def _start_call(
+        self, call: Awaitable[None], also: set[asyncio.Task[None]] | None = None
+    ) -> None:
         async def guard() -> None:
             await call
 
         task = asyncio.get_running_loop().create_task(guard())
         self._calls_under_way.add(task)
         task.add_done_callback(self._calls_under_way.discard)
+        if also is not None:
+            also.add(task)
+            task.add_done_callback(also.discard)
 
     async def _grant(self, hold: _Hold, instance: placement.Instance) -> None:
         term = self._term
@@ -315,7 +333,7 @@
             return
         if result == "granted":
             # Grants of earlier terms are refused from here on.
-            hold.until = until
+            hold.until = self._calls.now() + self._hold_ms * CLOCK_MARGIN
             hold.unanswered_until = unanswered_before
             hold.answered = True
             hold.failing_since = None
@@ -380,7 +398,7 @@
             if hold.failing_since is not None
         }
         return [
-            planning.Target(one.id, one.born, one.slots, self._around.speed(one))
+            planning.Target(one.id, one.born, self._around.capacity(one))
             for one in self._around.instances(service)
             if not one.draining and one.id not in failing
         ]
@@ -389,7 +407,7 @@
         targets = self._targets(service)
         if not targets or self._calls.now() < self._seen_since + START_WAIT_MS:
             return
-        loads = planning.smooth(self._around.load_by_bucket(service))
+        loads = self._around.loads(service)
         ranges = planning.plan_all(service, targets, loads)
         if not await self._write({service: list(ranges)}):
             return
@@ -412,6 +430,7 @@
                 hold.free = now >= hold.until
             elif instance is None or instance.draining:
                 hold.frozen = True
+                self._announce(hold, PLANNED_PAUSE_MS)
                 known = instance or hold.last_known
                 if known is not None:
                     releases.append(self._release(hold, known))
@@ -421,6 +440,7 @@
             ):
                 events.emit(303, instance=instance.id, first=hold.range.first)
                 hold.frozen = True
+                self._announce(hold, hold.until - now)
         if releases:
             # A slow release must not hold up the others.
             for release in releases:
@@ -429,21 +449,33 @@
         free = [hold for hold in self._of(service) if hold.free]
         if not free:
             return
-        loads = planning.smooth(self._around.load_by_bucket(service))
+        loads = self._around.loads(service)
         kept = [hold.range for hold in self._of(service) if not hold.free]
         lost = [hold.range for hold in free]
         moves = planning.plan_loss(service, lost, kept, self._targets(service), loads)
         if moves:
             await self._hand_over(service, free, moves, "holder is gone")
 
+    def _announce(self, hold: _Hold, pause_ms: float) -> None:
+        """Tell all VMs how long a range may be without a holder."""
+        moving = view.MovingRange(hold.service, hold.range.first, hold.range.last)
+        self._around.on_moving([moving], max(PLANNED_PAUSE_MS, pause_ms))
+
     async def _release(self, hold: _Hold, instance: placement.Instance) -> None:
         term = self._term
+        if hold.calls:
+            # A renewal under way must not arrive behind the release. Parts of a hold
+            # that was split share its calls.
+            await asyncio.wait(list(hold.calls))
+        if self._term != term:
+            return
         if not hold.answered or self._calls.now() < hold.unanswered_until:
             # A grant without an answer may still be carried out; the release counts
             # only once the instance refuses it for a higher token.
             hold.token = self._next_token()
             await self._grant(hold, instance)
             if not hold.answered or hold.failing_since is not None:
+                self._announce(hold, hold.until - self._calls.now())
                 return
         released = await self._calls.release(
             instance,
@@ -452,9 +484,13 @@
             hold.token,
             RELEASE_TIMEOUT_MS,
         )
-        if self._term == term and released is not None:
-            hold.handover = released.handover
-            hold.free = True
+        if self._term != term:
+            return
+        if released is None:
+            self._announce(hold, hold.until - self._calls.now())
+            return
+        hold.handover = released.handover
+        hold.free = True
 
     async def _hand_over(
         self,
@@ -489,21 +525,30 @@
                 reason=reason,
             )
         await self._renew()
+        # Requests are held until the new holders have confirmed.
+        term, number = self._map.term, self._map.number
+        calls = [call for hold in new for call in hold.calls]
+        if calls:
+            await asyncio.wait(calls)
+        settled = [hold.range for hold in new]
+        if self._term == term:
+            self._around.on_settled(term, number, service, settled)
 
     async def _balance(self, service: str) -> None:
         holds = self._of(service)
         if not holds or any(hold.frozen or not hold.answered for hold in holds):
             return
         targets = self._targets(service)
-        loads = planning.smooth(self._around.load_by_bucket(service))
+        loads = self._around.loads(service)
         ranges = [hold.range for hold in holds]
-        holders = {one.instance for one in ranges}
-        empty = [target for target in targets if target.id not in holders]
-        band = 1.0 if empty else planning.DEAD_BAND
-        most = max(len(empty), MOST_MOVES)
-        moves = planning.plan_moves(service, ranges, targets, loads, most, band)
+        moves = planning.plan_moves(service, ranges, targets, loads, MOST_MOVES)
+        pressure = planning.find_pressure(ranges, targets, loads)
+        if pressure is not None and pressure.rate > OVERLOAD * pressure.capacity:
+            events.emit(314, service=service, moves=len(moves), **pressure._asdict())
         if not moves:
             return
+        moving = [view.MovingRange(service, one.first, one.last) for one in moves]
+        self._around.on_moving(moving, PLANNED_PAUSE_MS)
         for move in moves:
             self._split(service, move.first, move.last)
         sources = [
--- a/src/wasabivalve/key_leases/planning.py
+++ b/src/wasabivalve/key_leases/planning.py
@@ -4,35 +4,58 @@
 these change within seconds; every move costs its keys a pause.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from . import core
+from . import core, key_loads
 
-BUCKET_KEYS = 64
-"""Requests are counted by this many neighbouring keys."""
+LEAST_UTILIZATION = 0.5
+"""Below this use of its slots an instance sheds nothing: waiting is still short."""
 
-BUCKETS = core.KEYS // BUCKET_KEYS
+DEAD_BAND = 1.25
+"""An instance sheds keys only beyond this multiple of the mean utilization."""
 
-DEAD_BAND = 1.3
-"""An instance sheds keys only beyond this multiple of its fair load."""
+WORTHWHILE = 0.85
+"""A range moves whole only if its new holder is then less used than this share of
+what its present holder is."""
 
-KEY_SHARE_WEIGHT = 0.15
-"""Share of the load that is spread evenly over all keys, for ranges not yet seen."""
+
+LEAST_PART = 0.3
+MOST_PART = 1.5
+"""Bounds of what one move carries, relative to what would even out two instances."""
+
+
+class Pressure(NamedTuple):
+    """Describe the most used instance; rates in requests per second."""
+
+    instance: str
+    rate: float
+    capacity: float
+    hottest_key: int
+    hottest_rate: float
+
+
+def find_pressure(
+    ranges: Sequence[core.KeyRange],
+    targets: Sequence["Target"],
+    loads: key_loads.LoadProfile,
+) -> Pressure | None:
+    """Return the most used instance, or None where there is none."""
+    if not targets:
+        return None
+    load_by_id = _load_by_target(ranges, targets, loads)
+    top = max(targets, key=lambda one: load_by_id[one.id] / one.capacity)
+    held = [one for one in ranges if one.instance == top.id]
+    key, rate = loads.hottest(held)
+    return Pressure(top.id, load_by_id[top.id], top.capacity, key, rate)
 
 
 class Target(NamedTuple):
-    """Describe an instance that may hold keys; ``speed`` is relative to 1."""
+    """Describe an instance that may hold keys; ``capacity`` in requests per second."""
 
     id: str
     born: int
-    slots: int
-    speed: float = 1.0
-
-    @property
-    def capacity(self) -> float:
-        """Return the load that the instance can take relative to others."""
-        return max(1, self.slots) * self.speed
+    capacity: float
 
 
 class Move(NamedTuple):
@@ -45,42 +68,8 @@
     to_born: int
 
 
-def smooth(counts: Sequence[float]) -> list[float]:
-    """Return the load by bucket with an even share added; the sum is 1."""
-    total = sum(counts)
-    even = 1.0 / BUCKETS
-    if total <= 0.0:
-        return [even] * BUCKETS
-    seen = 1.0 - KEY_SHARE_WEIGHT
-    return [seen * count / total + KEY_SHARE_WEIGHT * even for count in counts]
-
-
-def range_load(loads: Sequence[float], first: int, last: int) -> float:
-    """Return the load of a range; a bucket that it cuts counts by its share."""
-    total = 0.0
-    for bucket in range(first // BUCKET_KEYS, last // BUCKET_KEYS + 1):
-        start = max(first, bucket * BUCKET_KEYS)
-        end = min(last, bucket * BUCKET_KEYS + BUCKET_KEYS - 1)
-        total += loads[bucket] * (end - start + 1) / BUCKET_KEYS
-    return total
-
-
-def split_by_load(loads: Sequence[float], first: int, last: int, wanted: float) -> int:
-    """Return the last key of the front part of a range that carries this load."""
-    total = 0.0
-    for bucket in range(first // BUCKET_KEYS, last // BUCKET_KEYS + 1):
-        start = max(first, bucket * BUCKET_KEYS)
-        end = min(last, bucket * BUCKET_KEYS + BUCKET_KEYS - 1)
-        part = loads[bucket] * (end - start + 1) / BUCKET_KEYS
-        if total + part >= wanted:
-            share = (wanted - total) / part if part else 0.0
-            return min(last, max(first, start + int(share * (end - start + 1)) - 1))
-        total += part
-    return last
-
-
 def plan_all(
-    service: str, targets: Sequence[Target], loads: Sequence[float]
+    service: str, targets: Sequence[Target], loads: key_loads.LoadProfile
 ) -> tuple[core.KeyRange, ...]:
     """Return ranges that give every instance its share of the load."""
     capacity = sum(target.capacity for target in targets)
@@ -91,8 +80,8 @@
         if index < len(targets) - 1:
             # Leave at least one key for each instance that follows.
             most = core.KEYS - (len(targets) - index)
-            wanted = target.capacity / capacity
-            last = min(most, split_by_load(loads, first, core.KEYS - 1, wanted))
+            wanted = loads.total * target.capacity / capacity
+            last = min(most, loads.split(first, core.KEYS - 1, wanted))
         ranges.append(core.KeyRange(first, last, target.id, target.born))
         first = last + 1
     return tuple(ranges)
@@ -101,12 +90,12 @@
 def _load_by_target(
     ranges: Iterable[core.KeyRange],
     targets: Sequence[Target],
-    loads: Sequence[float],
+    loads: key_loads.LoadProfile,
 ) -> dict[str, float]:
     load_by_id = {target.id: 0.0 for target in targets}
     for one in ranges:
         if one.instance in load_by_id:
-            load_by_id[one.instance] += range_load(loads, one.first, one.last)
+            load_by_id[one.instance] += loads.range_load(one.first, one.last)
     return load_by_id
 
 
@@ -115,18 +104,18 @@
     lost: Sequence[core.KeyRange],
     ranges: Sequence[core.KeyRange],
     targets: Sequence[Target],
-    loads: Sequence[float],
+    loads: key_loads.LoadProfile,
 ) -> list[Move]:
     """Return moves of lost ranges to the instances with the least load."""
     if not targets:
         return []
     load_by_id = _load_by_target(ranges, targets, loads)
     by_id = {target.id: target for target in targets}
+    capacity = sum(target.capacity for target in targets) / len(targets)
     moves = []
     for one in lost:
-        pieces = _pieces(one, loads, len(targets))
-        for first, last in pieces:
-            size = range_load(loads, first, last)
+        for first, last in _pieces(one, loads, capacity):
+            size = loads.range_load(first, last)
             best = min(
                 by_id, key=lambda id: (load_by_id[id] + size) / by_id[id].capacity
             )
@@ -136,16 +125,16 @@
 
 
 def _pieces(
-    one: core.KeyRange, loads: Sequence[float], targets: int
+    one: core.KeyRange, loads: key_loads.LoadProfile, capacity: float
 ) -> list[tuple[int, int]]:
-    """Cut a range into parts of about a third of an instance's fair load."""
-    size = range_load(loads, one.first, one.last)
-    parts = max(1, min(3, round(3.0 * size * targets)))
+    """Cut a range into at most three parts of about a fifth of a capacity."""
+    size = loads.range_load(one.first, one.last)
+    parts = max(1, min(3, round(5.0 * size / capacity)))
     pieces = []
     first = one.first
     for index in range(parts, 1, -1):
-        left = range_load(loads, first, one.last)
-        last = split_by_load(loads, first, one.last, left / index)
+        left = loads.range_load(first, one.last)
+        last = loads.split(first, one.last, left / index)
         if last >= one.last:
             break
         pieces.append((first, last))
@@ -158,71 +147,90 @@
     service: str,
     ranges: Sequence[core.KeyRange],
     targets: Sequence[Target],
-    loads: Sequence[float],
+    loads: key_loads.LoadProfile,
     most: int,
-    dead_band: float = DEAD_BAND,
 ) -> list[Move]:
-    """Return moves from overloaded instances to those with the least load."""
+    """Return moves from overloaded instances to those with the least utilization.
+
+    Instances without keys get some from the most loaded in any case.
+    """
     if len(targets) < 2:
         return []
-    capacity = sum(target.capacity for target in targets)
     by_id = {target.id: target for target in targets}
+    mean = loads.total / sum(target.capacity for target in targets)
+    limit = max(LEAST_UTILIZATION, DEAD_BAND * mean)
     current = list(ranges)
     moves: list[Move] = []
-    moved: set[tuple[int, int]] = set()
-    while len(moves) < most:
+    # An instance whose keys cannot be shed must not hide the next one.
+    stuck: set[str] = set()
+    while len(moves) < most and len(stuck) < len(targets):
         load_by_id = _load_by_target(current, targets, loads)
-
-        def pressure(id: str, of: Mapping[str, float] = load_by_id) -> float:
-            return of[id] * capacity / by_id[id].capacity
-
-        heaviest = max(by_id, key=pressure)
-        lightest = min(by_id, key=pressure)
-        if pressure(heaviest) <= dead_band:
+        use_by_id = {id: load_by_id[id] / by_id[id].capacity for id in by_id}
+        holders = {one.instance for one in current}
+        empty = [id for id in by_id if id not in holders]
+        heaviest = max(set(by_id) - stuck, key=lambda id: use_by_id[id])
+        lightest = empty[0] if empty else min(by_id, key=lambda id: use_by_id[id])
+        if not empty and use_by_id[heaviest] <= limit:
             break
-        surplus = (pressure(heaviest) - 1.0) * by_id[heaviest].capacity / capacity
-        room = (1.0 - pressure(lightest)) * by_id[lightest].capacity / capacity
-        wanted = min(surplus, room)
-        move = _shed(service, current, heaviest, by_id[lightest], loads, wanted, moved)
+        held = [
+            one
+            for one in current
+            if one.instance == heaviest
+            and not any(
+                move.first <= one.last and one.first <= move.last for move in moves
+            )
+        ]
+        move = _shed(
+            service,
+            held,
+            by_id[heaviest].capacity,
+            by_id[lightest],
+            loads,
+            use_by_id[heaviest],
+            use_by_id[lightest],
+        )
         if move is None:
-            break
+            stuck.add(heaviest)
+            continue
         moves.append(move)
-        moved.add((move.first, move.last))
         new = core.KeyRange(move.first, move.last, move.to_instance, move.to_born)
-        current = list(
-            core.merge([*core.cut(tuple(current), move.first, move.last), new])
-        )
+        current = [*core.cut(tuple(current), move.first, move.last), new]
     return moves
 
 
 def _shed(
     service: str,
-    ranges: Sequence[core.KeyRange],
-    heaviest: str,
+    held: Sequence[core.KeyRange],
+    capacity: float,
     target: Target,
-    loads: Sequence[float],
-    wanted: float,
-    moved: set[tuple[int, int]],
+    loads: key_loads.LoadProfile,
+    use: float,
+    target_use: float,
 ) -> Move | None:
-    """Return the move of a part of the heaviest range that carries this load."""
-    held = [one for one in ranges if one.instance == heaviest]
-    if not held or wanted <= 0.0:
+    """Return the move of a part of the held ranges that evens out two instances."""
+    wanted = (use - target_use) / (1.0 / capacity + 1.0 / target.capacity)
+    if wanted <= 0.0:
         return None
-    one = max(held, key=lambda one: range_load(loads, one.first, one.last))
-    if one.first == one.last or any(
-        first <= one.last and one.first <= last for first, last in moved
+
+    def move(first: int, last: int) -> Move:
+        return Move(service, first, last, target.id, target.born)
+
+    for one in sorted(
+        held, key=lambda one: loads.range_load(one.first, one.last), reverse=True
     ):
-        return None
-    size = range_load(loads, one.first, one.last)
-    if size <= wanted:
-        return Move(service, one.first, one.last, target.id, target.born)
-    last = split_by_load(loads, one.first, one.last, wanted)
-    if last >= one.last:
-        return None
-    if range_load(loads, one.first, last) > 1.5 * wanted:
-        # The first keys are too hot to move; the other end may be lighter.
-        cut_at = split_by_load(loads, one.first, one.last, size - wanted)
-        if cut_at >= one.last or cut_at < one.first:
-            return None
-        return Move(service, cut_at + 1, one.last, target.id, target.born)
-    return Move(service, one.first, last, target.id, target.born)
+        size = loads.range_load(one.first, one.last)
+        if size <= wanted:
+            return move(one.first, one.last)
+        if one.first < one.last:
+            last = loads.split(one.first, one.last, wanted)
+            front = loads.range_load(one.first, last)
+            if last < one.last and LEAST_PART * wanted <= front <= wanted:
+                return move(one.first, last)
+            # A hot key at the front stays; the rest behind it may go.
+            cut_at = loads.split(one.first, one.last, size - wanted)
+            back = loads.range_load(min(cut_at + 1, one.last), one.last)
+            if cut_at < one.last and LEAST_PART * wanted <= back <= MOST_PART * wanted:
+                return move(cut_at + 1, one.last)
+        if target_use + size / target.capacity <= WORTHWHILE * use:
+            return move(one.first, one.last)
+    return None
--- /dev/null
+++ b/src/wasabivalve/key_leases/view.py
@@ -0,0 +1,74 @@
+"""Know the holder of each key on a VM, also while ranges move."""
+
+from typing import NamedTuple
+
+from . import core
+
+
+class MovingRange(NamedTuple):
+    """Name a range that has no holder for now."""
+
+    service: str
+    first: int
+    last: int
+
+
+class Holder(NamedTuple):
+    """Name the holder of a key, or say until when (ms) it has none."""
+
+    instance: str | None
+    moving_until: float | None = None
+
+
+class KeyView:
+    """Hold the newest map and the ranges that the controller moves."""
+
+    def __init__(self) -> None:
+        self.key_map = core.EMPTY
+        self._until_by_range: dict[MovingRange, float] = {}
+
+    def on_map(self, key_map: core.KeyMap) -> bool:
+        """Take in a recorded map; return whether it is the newest."""
+        newest = (self.key_map.term, self.key_map.number)
+        if (key_map.term, key_map.number) < newest:
+            return False
+        self.key_map = key_map
+        return True
+
+    def on_moving(self, ranges: list[MovingRange], until: float) -> None:
+        """Note ranges that have no holder until a time in ms, or until settled."""
+        for one in ranges:
+            self._until_by_range[one] = until
+
+    def on_settled(
+        self, term: int, number: int, service: str, settled: list[core.KeyRange]
+    ) -> None:
+        """Take in ranges that their new holders have confirmed."""
+        for moving in list(self._until_by_range):
+            if moving.service == service and any(
+                one.first <= moving.last and moving.first <= one.last for one in settled
+            ):
+                del self._until_by_range[moving]
+        if (term, number) < (self.key_map.term, self.key_map.number):
+            return
+        ranges = self.key_map.ranges_by_service.get(service, ())
+        for one in settled:
+            ranges = core.merge([*core.cut(ranges, one.first, one.last), one])
+        self.key_map = self.key_map._replace(
+            term=term,
+            number=number,
+            ranges_by_service={
+                **self.key_map.ranges_by_service,
+                service: ranges,
+            },
+        )
+
+    def find(self, service: str, key: int, now: float) -> Holder:
+        """Return the holder of a key; ``now`` in ms."""
+        for moving, until in list(self._until_by_range.items()):
+            if until <= now:
+                del self._until_by_range[moving]
+            elif moving.service == service and moving.first <= key <= moving.last:
+                return Holder(None, until)
+        found = self.key_map.find(service, key)
+        return Holder(None if found is None else found.instance)
--- a/src/wasabivalve/keyed_log/core.py
+++ b/src/wasabivalve/keyed_log/core.py
@@ -13,6 +13,14 @@
 """Pauses between calls while the store is away; short, as its return must be seen."""
 
 
+RELAY_TRUST_S = 1.4
+"""Time after a relayed position for which a follower asks the store nothing.
+
+Two relays may be lost before; a desired state and a leaving instance then still show
+within 2 s.
+"""
+
+
 class Record(NamedTuple):
     """Hold one record; one without a value removes its key."""
 
@@ -65,6 +73,7 @@
     on_record: Callable[[Record], None]
     on_contact: Callable[[], None]
     on_outage: Callable[[str], None]
+    on_read: Callable[[int, int, list[Record]], None] | None = None
 
 
 class TopicFollower:
@@ -78,20 +87,69 @@
         interval_s: float,
         wait_s: float,
         generator: random.Random,
+        clock: Callable[[], float],
     ) -> None:
-        self._name = name
+        self.name = name
         self._source = source
         self._handlers = handlers
         self._interval_s = interval_s
         self._wait_s = wait_s
         self._generator = generator
+        self._clock = clock
         self._next: int | None = None
         self._failures = 0
+        self._relayed_until = 0.0
+        self._behind = False
+        self._wake = asyncio.Event()
+
+    @property
+    def next(self) -> int | None:
+        """Return the offset of the next record, or None before the first listing."""
+        return self._next
 
     async def run(self) -> None:
-        """Follow until cancelled."""
+        """Follow until cancelled; while others relay the topic, ask only for gaps."""
         while True:
-            await asyncio.sleep(await self.step())
+            pause = await self.step()
+            if self._failures:
+                await asyncio.sleep(pause)
+                continue
+            await self._rest(pause)
+
+    async def _rest(self, pause: float) -> None:
+        """Wait for the pause to end, for longer while relays come, not behind them."""
+        rested_at = self._clock() + pause
+        while not self._behind:
+            left = max(rested_at, self._relayed_until) - self._clock()
+            if left <= 0.0:
+                break
+            self._wake.clear()
+            try:
+                await asyncio.wait_for(self._wake.wait(), left)
+            except TimeoutError:
+                # The pause is over, unless a relay came meanwhile.
+                pass
+        # A step without a pause must still let others run.
+        await asyncio.sleep(0.0)
+
+    def on_relay(self, first: int, end: int, records: list[Record]) -> None:
+        """Take in how far another VM has read, with the records that matter.
+
+        ``records`` are complete from ``first`` to ``end``.
+        """
+        if self._next is None or end < self._next:
+            return
+        if first <= self._next:
+            for record in records:
+                if record.offset >= self._next:
+                    self._handlers.on_record(record)
+            self._next = end
+            self._behind = False
+            self._relayed_until = self._clock() + RELAY_TRUST_S
+            self._handlers.on_contact()
+        else:
+            self._behind = True
+            self._wake.set()
 
     async def step(self) -> float:
         """Make one call and return the pause in s before the next."""
@@ -109,30 +167,37 @@
         return 0.0
 
     async def _read(self, offset: int) -> float:
-        result = await self._source.read(offset, self._wait_s)
+        wait_s = 0.0 if self._behind else self._wait_s
+        result = await self._source.read(offset, wait_s)
         if isinstance(result, Unavailable):
             return self._on_failure(result.reason)
         self._on_success()
         if isinstance(result, Trimmed):
-            events.emit(202, topic=self._name, offset=offset, first=result.first)
+            events.emit(202, topic=self.name, offset=offset, first=result.first)
             self._next = None
             return 0.0
+        self._behind = False
+        if self._next != offset:
+            # A relay was faster.
+            return 0.0
         for record in result.records:
             if record.offset >= offset:
                 self._handlers.on_record(record)
         if result.records:
             self._next = max(offset, result.records[-1].offset + 1)
+        if self._handlers.on_read is not None:
+            self._handlers.on_read(offset, self._next, result.records)
         return self._interval_s
 
     def _on_success(self) -> None:
         if self._failures:
-            events.emit(201, topic=self._name, failures=self._failures)
+            events.emit(201, topic=self.name, failures=self._failures)
         self._failures = 0
         self._handlers.on_contact()
 
     def _on_failure(self, reason: str) -> float:
         if not self._failures:
-            events.emit(200, topic=self._name, reason=reason)
+            events.emit(200, topic=self.name, reason=reason)
         self._failures += 1
         self._handlers.on_outage(reason)
         pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0 ** min(self._failures, 8))
--- a/src/wasabivalve/placement/core.py
+++ b/src/wasabivalve/placement/core.py
@@ -31,10 +31,10 @@
 LONGEST_PAUSE_MS = 8_000.0
 """A failing instance is left out for a time that doubles with each failure in a row."""
 
-QUEUE_ALLOWANCE = 4
+QUEUE_ALLOWANCE = 2
 """Requests beyond its slots that an instance is trusted to queue."""
 
-OWN_ALLOWANCE = 2
+OWN_ALLOWANCE = 1
 """Requests beyond the slots that one VM sends to an instance at once."""
 
 RECENT_ERROR_WEIGHT = 0.2
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -12,11 +12,12 @@
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.gateway import caller_connection, messages
 from wasabivalve.gateway import core as gateway
-from wasabivalve.key_leases import controller, key_loads
+from wasabivalve.key_leases import controller, key_loads, view
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.placement import core as placement
 from wasabivalve.placement import directory
+from wasabivalve.vm_link import core as vm_link
 
 from . import desired_state as desired_state_decoder
 from . import grants, headers, instances, settings, store
@@ -34,21 +35,22 @@
 
 READINESS_PATH = "/api/readiness"
 
-SERVERS_INTERVAL_S = 0.8
+SERVERS_INTERVAL_S = 0.6
 """Instances must get no request 2.5 s after they left; each call is priced."""
 
 STATE_WAIT_S = 1.5
 """Desired states must be in force within 2.5 s, also if a connection went silent."""
 
 LEDGER_WAIT_S = 2.0
-VMS_INTERVAL_S = 8.0
+VMS_INTERVAL_S = 6.0
 """The number of VMs only divides budgets, with a reserve."""
 
-JOIN_INTERVAL_S = 0.5
+JOIN_INTERVAL_S = 0.6
 GROUP_TTL_S = 1.6
 """Time without a call after which another VM becomes the controller."""
 
-TICK_S = 0.25
+CALL_REPORT_S = 10.0
+TICK_S = 0.3
 SECOND_MS = 1000.0
 
 EXIT_RESERVE_MS = 700.0
@@ -99,8 +101,13 @@
         self._store = store.Store(loaded.store)
         self._orders = grants.Orders()
         self._state: desired_state.DesiredState | None = None
-        self._map = key_leases.EMPTY
-        self._vms: set[str] = {loaded.vm}
+        self._view = view.KeyView()
+        self._address_by_vm: dict[str, vm_link.Address] = {loaded.vm: loaded.link}
+        self._controller_address: vm_link.Address | None = None
+        self._link = vm_link.Link(self._on_message)
+        self._follower_by_topic: dict[str, keyed_log.TopicFollower] = {}
+        self._changing: set[int] = set()
+        self._changed = False
         self._listed = False
         self._ledger_listed = False
         self._stopping = False
@@ -117,7 +124,7 @@
             gateway.Surroundings(
                 self._instances,
                 self._owner,
-                lambda: len(self._vms),
+                lambda: len(self._address_by_vm),
                 lambda service, key: self._loads.on_key(service, key, self._now_ms()),
             ),
         )
@@ -135,9 +142,11 @@
                 self._divided_services,
                 self._directory.instance_by_id.get,
                 self._instances,
-                self._speed,
-                lambda service: self._loads.by_bucket(service, self._now_ms()),
+                self._gateway.capacity,
+                lambda service: self._loads.profile(service, self._now_ms()),
                 self._take_map,
+                self._on_moving,
+                self._on_settled,
             ),
         )
         self._status: asyncio.Server | None = None
@@ -158,6 +167,7 @@
             readiness.port,
             reuse_address=True,
         )
+        await self._link.start(*self._settings.link)
         self._controller.start()
         followers = (
             self._follower(
@@ -185,6 +195,7 @@
                 VMS_TOPIC, self._on_vms_listing, self._on_vm_record, VMS_INTERVAL_S, 0.0
             ),
         )
+        self._follower_by_topic = {one.name: one for one in followers}
         self._tasks = [self._loop.create_task(one.run()) for one in followers]
         self._tasks.append(self._loop.create_task(self._keep_membership()))
         self._tasks.append(self._loop.create_task(self._tick()))
@@ -209,6 +220,7 @@
             task.cancel()
         self._controller.close()
         self._gateway.close()
+        self._link.close()
         self._orders.close()
         self._store.close()
         if self._status is not None:
@@ -243,8 +255,11 @@
         ) -> keyed_log.Batch | keyed_log.Trimmed | keyed_log.Unavailable:
             return await self._store.read(topic, offset, wait)
 
+        def on_read(first: int, end: int, records: list[keyed_log.Record]) -> None:
+            self._relay(topic, first, end, records)
+
         handlers = keyed_log.Handlers(
-            on_listing, on_record, self._on_contact, self._on_outage
+            on_listing, on_record, self._on_contact, self._on_outage, on_read
         )
         return keyed_log.TopicFollower(
             topic,
@@ -253,8 +268,82 @@
             interval_s,
             wait_s,
             self._generator,
+            self._loop.time,
+        )
+
+    # Relay of what this VM has read, while it is the controller.
+
+    def _relay(
+        self, topic: str, first: int, end: int, records: list[keyed_log.Record]
+    ) -> None:
+        if not self._controller.leads or (not records and topic != SERVERS_TOPIC):
+            return
+        relayed = []
+        if topic == SERVERS_TOPIC:
+            relayed = [
+                vm_link.RelayedRecord(record.offset, record.key, record.value)
+                for record in records
+                if record.offset in self._changing
+            ]
+            self._changing.clear()
+        ends = {
+            name: follower.next
+            for name, follower in self._follower_by_topic.items()
+            if follower.next is not None
+        }
+        message = vm_link.Relay(self._settings.vm, ends, topic, first, relayed)
+        if not self._send_to_all(message):
+            # Too many changes for a packet; receivers read them themselves.
+            self._send_to_all(vm_link.Relay(self._settings.vm, ends, topic, end, []))
+
+    def _send_to_all(self, message: vm_link.Message) -> bool:
+        """Send a message to all other VMs; return False if it is too large."""
+        return all(
+            [
+                self._link.send(message, address)
+                for vm, address in self._address_by_vm.items()
+                if vm != self._settings.vm
+            ]
         )
 
+    def _on_message(self, message: vm_link.Message, sender: vm_link.Address) -> None:
+        if isinstance(message, vm_link.KeyReport):
+            self._loads.on_report(message.counts_by_service, self._now_ms())
+            return
+        if self._controller.leads:
+            return
+        if isinstance(message, vm_link.Moving):
+            moving = [view.MovingRange(*one) for one in message.ranges]
+            self._view.on_moving(moving, self._now_ms() + message.pause_ms)
+            return
+        if isinstance(message, vm_link.Settled):
+            settled = [key_leases.KeyRange(*one) for one in message.ranges]
+            self._view.on_settled(
+                message.term, message.number, message.service, settled
+            )
+            self._gateway.on_owners_changed()
+            return
+        self._controller_address = sender
+        for topic, end in message.end_by_topic.items():
+            follower = self._follower_by_topic.get(topic)
+            if follower is None:
+                continue
+            if topic == message.topic and topic == SERVERS_TOPIC:
+                records = [
+                    keyed_log.Record(one.offset, one.key, one.value)
+                    for one in message.records
+                ]
+                follower.on_relay(message.first, end, records)
+            elif topic != SERVERS_TOPIC:
+                follower.on_relay(end, end, [])
+
+    def _report_keys(self) -> None:
+        counts = self._loads.take_unreported()
+        if self._controller.leads or self._controller_address is None or not counts:
+            return
+        message = vm_link.KeyReport(self._settings.vm, counts)
+        self._link.send(message, self._controller_address)
+
     # Desired state.
 
     def _on_operator_listing(self, records: Sequence[keyed_log.Record]) -> None:
@@ -291,12 +380,15 @@
             events.emit(320, instances=len(decoded))
 
     def _on_server_record(self, record: keyed_log.Record) -> None:
+        self._changed = record.value is None
         if record.value is None:
             self._directory.on_removed(record.key, self._now_ms())
-            return
-        instance = self._decode_instance(record)
-        if instance is not None:
-            self._directory.on_entry(instance)
+        else:
+            instance = self._decode_instance(record)
+            if instance is not None:
+                self._directory.on_entry(instance)
+        if self._changed:
+            self._changing.add(record.offset)
 
     def _decode_instance(self, record: keyed_log.Record) -> placement.Instance | None:
         try:
@@ -308,6 +400,7 @@
     def _on_instance(
         self, before: placement.Instance | None, after: placement.Instance | None
     ) -> None:
+        self._changed = True
         self._gateway.on_instance_change(before, after)
         known = after or before
         assert known is not None
@@ -349,14 +442,30 @@
         self._take_map(key_map)
 
     def _take_map(self, key_map: key_leases.KeyMap) -> None:
-        newest = (self._map.term, self._map.number)
-        if (key_map.term, key_map.number) > newest:
-            self._map = key_map
-            self._gateway.wake_all()
+        if self._view.on_map(key_map):
+            self._gateway.on_owners_changed()
+
+    def _on_moving(self, ranges: list[view.MovingRange], pause_ms: float) -> None:
+        self._view.on_moving(ranges, self._now_ms() + pause_ms)
+        rows = [(one.service, one.first, one.last) for one in ranges]
+        self._send_to_all(vm_link.Moving(self._settings.vm, rows, pause_ms))
+
+    def _on_settled(
+        self,
+        term: int,
+        number: int,
+        service: str,
+        settled: list[key_leases.KeyRange],
+    ) -> None:
+        self._view.on_settled(term, number, service, settled)
+        self._gateway.on_owners_changed()
+        rows = [(one.first, one.last, one.instance, one.born) for one in settled]
+        self._send_to_all(
+            vm_link.Settled(self._settings.vm, term, number, service, rows)
+        )
 
-    def _owner(self, service: str, key: int) -> str | None:
-        found = self._map.find(service, key)
-        return None if found is None else found.instance
+    def _owner(self, service: str, key: int) -> view.Holder:
+        return self._view.find(service, key, self._now_ms())
 
     def _divided_services(self) -> list[str]:
         if self._state is None:
@@ -364,9 +473,6 @@
         services = self._state.service_by_name.values()
         return [service.name for service in services if service.divided]
 
-    def _speed(self, instance: placement.Instance) -> float:
-        return self._gateway.speed(instance)
-
     async def _read_ledger(self) -> controller.Ledger | None:
         listing = await self._store.newest(LEDGER_TOPIC)
         if isinstance(listing, keyed_log.Unavailable):
@@ -395,17 +501,20 @@
     # Membership.
 
     def _on_vms_listing(self, records: Sequence[keyed_log.Record]) -> None:
-        self._vms = {record.key for record in records} | {self._settings.vm}
+        for record in records:
+            self._on_vm_record(record)
 
     def _on_vm_record(self, record: keyed_log.Record) -> None:
-        if record.value is None:
-            self._vms.discard(record.key)
-        else:
-            self._vms.add(record.key)
+        host, _, port = (record.value or b"").decode("ascii", "replace").partition(":")
+        if port.isdigit():
+            self._address_by_vm[record.key] = (host, int(port))
+        elif record.key != self._settings.vm:
+            self._address_by_vm.pop(record.key, None)
 
     async def _keep_membership(self) -> None:
         vm = self._settings.vm
-        where = self._settings.data_centre.encode()
+        link = self._settings.link
+        where = f"{link.host}:{link.port}".encode()
         while await self._store.append(VMS_TOPIC, vm, where) != "done":
             await asyncio.sleep(JOIN_INTERVAL_S)
         ttl_s = max(GROUP_TTL_S, self._settings.group_ttl_ms / SECOND_MS)
@@ -426,7 +535,14 @@
             self._controller.on_follower("the registry named another VM")
 
     async def _tick(self) -> None:
+        reported_at = self._loop.time()
         while True:
+            if self._loop.time() >= reported_at + CALL_REPORT_S:
+                reported_at = self._loop.time()
+                calls = self._store.calls_by_name
+                events.emit(204, **{n.replace("-", "_"): calls[n] for n in calls})
+                self._store.calls_by_name.clear()
             await asyncio.sleep(TICK_S)
             self._directory.tick(self._now_ms())
             self._gateway.pool.close_expired(self._loop.time())
+            self._report_keys()
--- a/src/wasabivalve/platform/settings.py
+++ b/src/wasabivalve/platform/settings.py
@@ -26,6 +26,7 @@
     callers: Address
     readiness: Address
     store: Address
+    link: Address
     grace_ms: float
     repeat_share: float
     repeat_window_ms: float
@@ -73,6 +74,16 @@
             self.find(path, f"is {value!r}, not an IP address with a port")
         return Address(host, int(port) if port.isdigit() else 0)
 
+    def first_port(self) -> int:
+        """Return the first port that VMs may use among themselves."""
+        ports = self.value("internal_ports", list)
+        if ports is None:
+            return 0
+        if not ports or not isinstance(ports[0], int):
+            self.find("internal_ports", f"is {ports!r}, not a range of ports")
+            return 0
+        return int(ports[0])
+
     def bounds(self) -> dict[str, float]:
         """Return the figures of the list of ``name=value`` texts."""
         figures = {}
@@ -108,6 +119,7 @@
         callers=reader.address("listen.front"),
         readiness=reader.address("listen.ready_address"),
         store=reader.address("platform.address"),
+        link=Address(reader.value("ip", str) or "", reader.first_port()),
         grace_ms=1000.0 * bound("grace_s"),
         repeat_share=bound("retry_budget_ratio"),
         repeat_window_ms=1000.0 * bound("budget_window_s"),
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -47,7 +47,7 @@
     def __init__(self, address: settings.Address) -> None:
         self._address = address
         self._idle: list[upstream_connection.UpstreamConnection] = []
-        self.calls = 0
+        self.calls_by_name: dict[str, int] = {}
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -154,7 +154,7 @@
         json: bool = False,
         wait_s: float = 0.0,
     ) -> messages.Answer | keyed_log.Unavailable:
-        self.calls += 1
+        self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
         target = f"/api/{name}"
         if query:
             target += "?" + urllib.parse.urlencode(query)
--- /dev/null
+++ b/src/wasabivalve/vm_link/__init__.py
@@ -0,0 +1,27 @@
+"""Datagrams between entry VMs."""
+
+from .core import (
+    LARGEST_DATAGRAM,
+    KeyReport,
+    Link,
+    Message,
+    Moving,
+    Relay,
+    RelayedRecord,
+    Settled,
+    decode,
+    encode,
+)
+
+__all__ = [
+    "LARGEST_DATAGRAM",
+    "KeyReport",
+    "Link",
+    "Message",
+    "Moving",
+    "Relay",
+    "RelayedRecord",
+    "Settled",
+    "decode",
+    "encode",
+]
