Stop listening after the rotation, keep renewing failing holders, test the new parts

The lease tests in virtual time found more: a controller that reached no instance for a second froze every range for good; one that was superseded did not notice without ranges; the header limit counted nothing, as each message reset the count.

--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -57,6 +57,7 @@
         self._promised_idle_s = math.inf
         self._timer: asyncio.TimerHandle | None = None
         self._reading = False
+        self._header_bytes = 0
         self._reset_message()
 
     @property
@@ -238,7 +239,6 @@
         self._headers: messages.Headers = []
         self._chunks: list[bytes] = []
         self._size = 0
-        self._header_bytes = 0
         self._headers_done = False
 
     def _stop_timer(self) -> None:
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -1,6 +1,7 @@
 """Forward requests to instances within their time, their attempts and the budget."""
 
 import asyncio
+import math
 import statistics
 from collections.abc import Callable
 from typing import NamedTuple
@@ -40,6 +41,9 @@
 WAIT_SHARE = 0.6
 """Share of the time of a request that it may wait for room."""
 
+SILENCE_FACTOR = 4.0
+"""Multiple of the estimate after which an attempt counts as unanswered."""
+
 SIZE_WEIGHT = 0.1
 """Weight of the newest sample in the average size of a route's exchanges."""
 
@@ -116,6 +120,7 @@
         surroundings: Surroundings,
     ) -> None:
         self.stopping = False
+        self.ends_by = math.inf
         self.requests = 0
         self.pool = pool.Pool()
         self._dialect = dialect
@@ -153,12 +158,23 @@
             connection.close()
         self.pool.close()
 
+    def stop_listening(self) -> None:
+        """Refuse new connections; open ones stay."""
+        if self._server is not None:
+            self._server.close()
+
     def close_idle_callers(self) -> None:
         """Close the connections of callers on which no request is in work."""
         for connection in list(self._connections):
             if not connection.busy:
                 connection.close()
 
+    @property
+    def port(self) -> int:
+        """Return the port on which callers are accepted."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
     @property
     def busy(self) -> int:
         """Return the number of connections with a request in work."""
@@ -253,7 +269,7 @@
             if key is not None:
                 self._surroundings.on_key(service.name, key)
         limit = route.timeout_ms / 1000.0
-        return _Work(
+        work = _Work(
             request,
             route,
             service,
@@ -261,6 +277,8 @@
             limit if left_s is None else left_s,
             key,
         )
+        work.end_at = min(work.end_at, self.ends_by)
+        return work
 
     async def _forward(self, work: _Work) -> messages.Answer:
         assert self._loop is not None
@@ -270,7 +288,7 @@
                 return self._give_up(work)
             if (work.attempts or work.sends) and not self._may_repeat(work):
                 return self._give_up(work)
-            attempt = await self._attempt(work, choice.load)
+            attempt = await self._attempt(work, choice.load, choice.estimate_ms)
             answer = self._judge(work, choice.load, attempt)
             if answer is not None:
                 return answer
@@ -306,7 +324,7 @@
             if expected + HOPELESS_SHARE * service_time_s > work.end_at - now:
                 work.trail.append("hopeless")
                 return None
-            waiter = line.join(work.route.rank, start_by)
+            waiter = line.join(work.route.rank, start_by, now)
             try:
                 while self._line_name(work) == name:
                     if line.is_first(waiter, self._loop.time()):
@@ -317,7 +335,7 @@
                         work.trail.append("no-room")
                         return None
             finally:
-                line.leave(waiter)
+                line.leave(waiter, self._loop.time())
                 line.wake_first(self._loop.time())
 
     def _start_by(self, work: _Work) -> float:
@@ -382,7 +400,9 @@
             now,
         )
 
-    async def _attempt(self, work: _Work, load: placement.InstanceLoad) -> _Attempt:
+    async def _attempt(
+        self, work: _Work, load: placement.InstanceLoad, estimate_ms: float
+    ) -> _Attempt:
         assert self._loop is not None
         instance = load.instance
         started = self._loop.time()
@@ -402,7 +422,9 @@
                     / max(1, self._surroundings.live_vms())
                 ),
             )
-            connection = await self.pool.take(instance, work.route.idempotent, most)
+            connection = await self.pool.take(
+                instance, work.route.idempotent, most, work.end_at - started
+            )
             if isinstance(connection, upstream_connection.NotSent):
                 ended = True
                 return _Attempt(connection)
@@ -420,11 +442,13 @@
                 (self._dialect.request_id, identity) if identity else None,
                 work.request.method == b"HEAD",
             )
+            ends_at = self._attempt_ends_at(work, estimate_ms, now)
             try:
-                async with asyncio.timeout_at(work.end_at):
+                async with asyncio.timeout_at(ends_at):
                     outcome = await exchange
             except TimeoutError:
-                return _Attempt(upstream_connection.Broken("no answer in time"), True)
+                late = ends_at >= work.end_at
+                return _Attempt(upstream_connection.Broken("no answer in time"), late)
             ended = isinstance(outcome, messages.Answer)
             if ended:
                 self.pool.give_back(instance, connection)
@@ -440,6 +464,16 @@
             line.on_answer(self._loop.time())
             line.wake_first(self._loop.time())
 
+    def _attempt_ends_at(self, work: _Work, estimate_ms: float, now: float) -> float:
+        """Return until when an attempt may stay without an answer.
+
+        A full instance may never answer; work that may run twice is then sent again.
+        """
+        if not work.route.idempotent or work.attempts >= work.route.most_attempts:
+            return work.end_at
+        patience_ms = max(work.route.target_latency_ms, SILENCE_FACTOR * estimate_ms)
+        return min(work.end_at, now + patience_ms / 1000.0)
+
     def _encode(self, work: _Work, instance: placement.Instance, now: float) -> bytes:
         dialect = self._dialect
         own = (dialect.time_left, dialect.expected_instance)
--- a/src/wasabivalve/gateway/pool.py
+++ b/src/wasabivalve/gateway/pool.py
@@ -41,7 +41,11 @@
         self.handshakes = 0
 
     async def take(
-        self, instance: placement.Instance, idempotent: bool, most: int
+        self,
+        instance: placement.Instance,
+        idempotent: bool,
+        most: int,
+        time_left_s: float,
     ) -> upstream_connection.UpstreamConnection | upstream_connection.NotSent:
         """Return a kept connection or a new one; ``most`` bounds the open ones."""
         life = Life(instance.id, instance.born)
@@ -62,7 +66,7 @@
         )
         try:
             opened = await upstream_connection.connect(
-                instance.host, instance.port, CONNECT_TIMEOUT_S
+                instance.host, instance.port, min(CONNECT_TIMEOUT_S, time_left_s)
             )
         finally:
             if isinstance(opened, upstream_connection.NotSent):
--- a/src/wasabivalve/gateway/waiting.py
+++ b/src/wasabivalve/gateway/waiting.py
@@ -7,11 +7,11 @@
 
 import asyncio
 
-DRAIN_WINDOW_S = 1.5
-"""Time over which the rate of answers is measured; several service times."""
+HALF_TIME_S = 1.0
+"""Half-time of the measured rate of answers; several service times."""
 
-LEAST_MEASURED = 3
-"""Answers that make a rate worth believing."""
+LEAST_BUSY_S = 0.3
+"""Time for which requests must have waited until the rate is believed."""
 
 
 class Waiter:
@@ -35,20 +35,26 @@
 
     def __init__(self) -> None:
         self._waiters: list[Waiter] = []
-        self._answered: list[float] = []
+        # Only time in which requests waited counts: at other times the answers show
+        # the demand and not what could be served.
+        self._busy_s = 0.0
+        self._answers = 0.0
+        self._measured_at = 0.0
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
         return len(self._waiters)
 
-    def join(self, rank: int, start_by: float) -> Waiter:
+    def join(self, rank: int, start_by: float, now: float) -> Waiter:
         """Add a request."""
+        self._measure(now)
         waiter = Waiter(rank, start_by)
         self._waiters.append(waiter)
         return waiter
 
-    def leave(self, waiter: Waiter) -> None:
+    def leave(self, waiter: Waiter, now: float) -> None:
         """Remove a request."""
+        self._measure(now)
         self._waiters.remove(waiter)
 
     def is_first(self, waiter: Waiter, now: float) -> bool:
@@ -62,21 +68,26 @@
 
     def on_answer(self, now: float) -> None:
         """Count an answer for the rate at which the line drains."""
-        self._answered.append(now)
-        start = now - DRAIN_WINDOW_S
-        while self._answered and self._answered[0] < start:
-            self._answered.pop(0)
+        self._measure(now)
+        if self._waiters:
+            self._answers += 1.0
 
     def expected_wait_s(self, rank: int, start_by: float, now: float) -> float:
         """Return the time until such a request would be first, were it to join."""
+        self._measure(now)
         order = Waiter(rank, start_by).order(now)
         ahead = sum(1 for waiter in self._waiters if waiter.order(now) <= order)
-        if not ahead:
-            return 0.0
-        recent = [at for at in self._answered if at > now - DRAIN_WINDOW_S]
-        if len(recent) < LEAST_MEASURED:
+        if not ahead or self._busy_s < LEAST_BUSY_S:
             return 0.0
-        return ahead * DRAIN_WINDOW_S / len(recent)
+        return ahead * self._busy_s / max(1.0, self._answers)
+
+    def _measure(self, now: float) -> None:
+        if self._waiters:
+            passed = now - self._measured_at
+            kept = 0.5 ** (passed / HALF_TIME_S)
+            self._busy_s = self._busy_s * kept + passed
+            self._answers *= kept
+        self._measured_at = now
 
     def _first(self, now: float) -> Waiter:
         return min(self._waiters, key=lambda waiter: waiter.order(now))
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -8,8 +8,8 @@
 import asyncio
 import dataclasses
 import uuid
-from collections.abc import Awaitable, Callable, Mapping, Sequence
-from typing import Literal, NamedTuple
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from typing import Any, Literal, NamedTuple
 
 from wasabivalve import events
 from wasabivalve.placement import core as placement
@@ -48,6 +48,15 @@
 LOST_AFTER_MS = 900.0
 """Renewals that fail for this long make an instance count as lost."""
 
+MOST_UNANSWERED = 3
+"""Grants without an answer after which no more are sent to a silent instance."""
+
+AVOIDED_MS = 4_000.0
+"""Time after which a lost instance is asked whether it answers again.
+
+Until it does it gets no keys, unless no other instance is left.
+"""
+
 TICK_MS = 100.0
 BALANCE_INTERVAL_MS = 600.0
 """Interval of moves for balance; the load of a range takes about as long to show."""
@@ -66,7 +75,9 @@
 
 RETRY_WRITE_S = 0.15
 
-GrantResult = Literal["granted", "refused", "no_answer"]
+GrantResult = Literal["granted", "refused", "not_sent", "no_answer"]
+"""Only a grant that was not sent certainly does not arrive."""
+
 AppendResult = Literal["done", "moved", "unknown"]
 
 
@@ -126,6 +137,8 @@
     answered: bool = False
     failing_since: float | None = None
     unanswered_until: float = 0.0
+    unanswered_in_row: int = 0
+    announced: bool = False
     frozen: bool = False
     free: bool = False
     handover: str | None = None
@@ -157,6 +170,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._calls_under_way: set[asyncio.Task[None]] = set()
         self._writing = asyncio.Lock()
+        self._avoided_until: dict[tuple[str, int], float] = {}
 
     @property
     def leads(self) -> bool:
@@ -191,6 +205,11 @@
         self._term = None
         self._holds = []
 
+    def on_record(self, key_map: core.KeyMap) -> None:
+        """Take in a recorded map; one of a later term ends this one."""
+        if self._term is not None and key_map.term > self._term:
+            self.on_follower("another controller claimed a later term")
+
     async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
         while True:
             try:
@@ -301,12 +320,11 @@
             self._start_call(self._grant(hold, instance), hold.calls)
 
     def _start_call(
-        self, call: Awaitable[None], also: set[asyncio.Task[None]] | None = None
+        self,
+        call: Coroutine[Any, Any, None],
+        also: set[asyncio.Task[None]] | None = None,
     ) -> None:
-        async def guard() -> None:
-            await call
-
-        task = asyncio.get_running_loop().create_task(guard())
+        task = asyncio.get_running_loop().create_task(call)
         self._calls_under_way.add(task)
         task.add_done_callback(self._calls_under_way.discard)
         if also is not None:
@@ -317,8 +335,8 @@
         term = self._term
         sent_at = self._calls.now()
         until = sent_at + self._longest_hold_ms()
+        until_before, unanswered_before = hold.until, hold.unanswered_until
         hold.until = max(hold.until, until)
-        unanswered_before = hold.unanswered_until
         hold.unanswered_until = until
         result = await self._calls.grant(
             instance,
@@ -337,6 +355,13 @@
             hold.unanswered_until = unanswered_before
             hold.answered = True
             hold.failing_since = None
+            hold.unanswered_in_row = 0
+            if hold.announced:
+                hold.announced = False
+                self._avoided_until.pop((instance.id, instance.born), None)
+                self._around.on_settled(
+                    self._map.term, self._map.number, hold.service, [hold.range]
+                )
             hold.handover = None
             return
         events.emit(
@@ -351,6 +376,10 @@
             # Another controller used a higher token.
             self.on_follower("an instance has seen a higher token")
             return
+        if result == "not_sent":
+            hold.until, hold.unanswered_until = until_before, unanswered_before
+        else:
+            hold.unanswered_in_row += 1
         if hold.failing_since is None:
             hold.failing_since = sent_at
         hold.due_at = min(hold.due_at, self._calls.now() + RENEWAL_MS / 4.0)
@@ -366,6 +395,7 @@
         if not self._has_authority():
             return
         self._note_instances()
+        self._probe_avoided()
         for service in self._around.divided_services():
             if not self._has_authority():
                 return
@@ -391,16 +421,40 @@
             self._seen = seen
             self._seen_since = self._calls.now()
 
+    def _probe_avoided(self) -> None:
+        """Ask lost instances whether they answer before they get keys again."""
+        now = self._calls.now()
+        holders = {hold.range.instance for hold in self._holds}
+        for life, until in list(self._avoided_until.items()):
+            instance = self._around.instance(life[0])
+            if instance is None or instance.born != life[1]:
+                del self._avoided_until[life]
+            elif now >= until and life[0] not in holders:
+                self._avoided_until[life] = now + AVOIDED_MS
+                self._start_call(self._probe(instance))
+
+    async def _probe(self, instance: placement.Instance) -> None:
+        term = self._term
+        # Without keys there is nothing to give up, and a release is never refused.
+        answer = await self._calls.release(
+            instance, 0, 0, self._next_token(), CALL_TIMEOUT_MS
+        )
+        if answer is not None and self._term == term:
+            self._avoided_until.pop((instance.id, instance.born), None)
+
     def _targets(self, service: str) -> list[planning.Target]:
         failing = {
             hold.range.instance
             for hold in self._holds
             if hold.failing_since is not None
         }
+        failing |= {life[0] for life in self._avoided_until}
+        instances = [one for one in self._around.instances(service) if not one.draining]
+        # A controller that reaches no instance may be the one that is cut off.
+        sound = [one for one in instances if one.id not in failing] or instances
         return [
             planning.Target(one.id, one.born, self._around.capacity(one))
-            for one in self._around.instances(service)
-            if not one.draining and one.id not in failing
+            for one in sound
         ]
 
     async def _assign_first(self, service: str) -> None:
@@ -438,9 +492,7 @@
                 hold.failing_since is not None
                 and now >= hold.failing_since + LOST_AFTER_MS
             ):
-                events.emit(303, instance=instance.id, first=hold.range.first)
-                hold.frozen = True
-                self._announce(hold, hold.until - now)
+                self._on_failing(hold, instance)
         if releases:
             # A slow release must not hold up the others.
             for release in releases:
@@ -461,6 +513,21 @@
         moving = view.MovingRange(hold.service, hold.range.first, hold.range.last)
         self._around.on_moving([moving], max(PLANNED_PAUSE_MS, pause_ms))
 
+    def _on_failing(self, hold: _Hold, instance: placement.Instance) -> None:
+        """Free a range whose holder stays silent once its hold has run out."""
+        now = self._calls.now()
+        if not hold.announced:
+            events.emit(303, instance=instance.id, first=hold.range.first)
+            hold.announced = True
+            self._announce(hold, hold.until - now)
+            life = (instance.id, instance.born)
+            self._avoided_until[life] = now + AVOIDED_MS
+        if hold.unanswered_in_row >= MOST_UNANSWERED:
+            # Each grant that may have arrived makes the hold longer.
+            hold.frozen = True
+        elif now >= hold.until and not hold.calls:
+            hold.frozen = hold.free = True
+
     async def _release(self, hold: _Hold, instance: placement.Instance) -> None:
         term = self._term
         if hold.calls:
--- /dev/null
+++ b/src/wasabivalve/key_leases/tests/test_controller.py
@@ -0,0 +1,259 @@
+"""Guard that each key has one holder, and that keys find one again."""
+
+import asyncio
+import random
+
+import pytest
+
+from wasabivalve.key_leases import controller, core
+from wasabivalve.key_leases.tests import lease_world
+
+
+def test_all_keys_are_held_soon_after_the_start():
+    """A divided service whose keys nobody holds serves no one."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        assert world.uncovered() == 0
+
+    lease_world.play(scenario)
+
+
+def test_renewals_ride_out_an_outage_of_the_store():
+    """Keys must not lapse because the store is away for some seconds."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        world.store_up = False
+        for _ in range(18):
+            await asyncio.sleep(0.5)
+            assert world.uncovered() == 0
+
+    lease_world.play(scenario)
+
+
+def test_successor_renews_before_holds_run_out():
+    """A change of controller must not leave keys without a holder."""
+
+    async def scenario(world):
+        first, second = world.build("a"), world.build("b")
+        first.start()
+        second.start()
+        await world.lead(first, 3.0)
+        first.close()
+        await asyncio.sleep(2.0)
+        await world.lead(second, 4.0)
+        assert world.uncovered() == 0
+
+    lease_world.play(scenario)
+
+
+def test_two_controllers_at_once_keep_one_holder():
+    """A controller that the registry gave up may still send orders for a while."""
+
+    async def scenario(world):
+        first, second = world.build("a"), world.build("b")
+        first.start()
+        second.start()
+        await world.lead(first, 3.0)
+        del world.listed["i-1"]
+        await asyncio.gather(world.lead(first, 6.0), world.lead(second, 6.0))
+        await world.lead(second, 20.0)
+        assert world.holder(30_000) is not None
+
+    lease_world.play(scenario)
+
+
+def test_silent_instance_keeps_its_keys_until_its_hold_has_run_out():
+    """Keys granted again before the end of the old hold have two holders."""
+
+    async def scenario(world):
+        world.instances["i-1"].clock_rate = 0.98
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        world.instances["i-1"].reachable = False
+        await world.lead(leader, 8.0)
+        assert world.uncovered() == 0
+        assert not world.instances["i-1"].held()
+
+    lease_world.play(scenario)
+
+
+def test_grant_that_arrives_at_the_end_of_its_time_limit_counts():
+    """A hold counted from the sending ends earlier than the instance believes."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        world.late = 1.0
+        await world.lead(leader, 1.3)
+        world.late = 0.0
+        for name in list(world.listed)[:2]:
+            world.instances[name].reachable = False
+        # A late grant that is carried out after its time ends the hold until the next
+        # renewal; all of them are carried out by then.
+        await world.lead(leader, 13.0)
+        assert world.uncovered() == 0
+
+    for seed in range(20):
+        lease_world.play(scenario, seed=seed)
+
+
+def test_new_life_of_an_instance_gets_its_keys_by_a_new_record():
+    """A new life that is taken for the old one holds nothing and refuses its keys."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        world.add("i-1", born=2)
+        await world.lead(leader, 3.0)
+        assert world.uncovered() == 0
+        ranges = world.ledger[-1].ranges_by_service[lease_world.SERVICE]
+        assert all(one.born == 2 for one in ranges if one.instance == "i-1")
+
+    lease_world.play(scenario)
+
+
+def test_all_controllers_killed_at_once_find_the_recorded_holders():
+    """A start from nothing must not wait for holds that it can renew."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        leader.close()
+        await asyncio.sleep(8.0)
+        leader = world.build("b")
+        leader.start()
+        await world.lead(leader, 1.5)
+        assert world.uncovered() == 0
+
+    lease_world.play(scenario)
+
+
+def test_late_write_does_not_grant_keys_twice():
+    """A record that is done seconds later must not undo a newer one."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        world.lose_append = 2
+        del world.listed["i-2"]
+        world.instances["i-2"].reachable = False
+        await world.lead(leader, 15.0)
+        assert world.uncovered() == 0
+
+    for seed in range(10):
+        lease_world.play(scenario, seed=seed)
+
+
+def test_hot_range_is_spread():
+    """One instance with most of the load makes most requests late."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        for _ in range(30):
+            for key in range(100, 160):
+                world.loads.on_key(lease_world.SERVICE, key, 1000.0 * world.now_s())
+            await world.lead(leader, 0.5)
+        assert len({world.holder(key) for key in range(100, 160)}) == 3
+
+    lease_world.play(scenario)
+
+
+def test_quiet_instances_keep_their_keys():
+    """Moves without need pause their keys and are paid for."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        before = len(world.ledger)
+        generator = random.Random(1)
+        for _ in range(30):
+            for _ in range(5):
+                key = generator.randrange(core.KEYS)
+                world.loads.on_key(lease_world.SERVICE, key, 1000.0 * world.now_s())
+            await world.lead(leader, 0.5)
+        assert len(world.ledger) == before
+
+    lease_world.play(scenario)
+
+
+def test_instance_that_joins_gets_keys():
+    """An empty instance of a divided service serves no one."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        world.add("i-9")
+        await world.lead(leader, 3.0)
+        assert world.instances["i-9"].held()
+
+    lease_world.play(scenario)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_random_failures_keep_one_holder(seed):
+    """Any series of losses, late orders and changes of controller keeps one holder."""
+
+    async def scenario(world):
+        generator = random.Random(seed)
+        controllers = [world.build(name) for name in "ab"]
+        for one in controllers:
+            one.start()
+        for step in range(12):
+            leader = generator.choice(controllers)
+            world.loss = generator.choice((0.0, 0.0, 0.2))
+            world.late = generator.choice((0.0, 0.0, 0.3))
+            world.store_up = generator.random() < 0.85
+            world.lose_append = generator.choice((0, 0, 1))
+            name = generator.choice(list(world.instances))
+            world.instances[name].reachable = generator.random() < 0.6
+            if generator.random() < 0.3:
+                world.add(name, born=world.instances[name].born + 1)
+            elif generator.random() < 0.2:
+                world.listed.pop(name, None)
+            else:
+                world.listed[name] = world.instances[name].entry()
+            world.loads.on_key(
+                lease_world.SERVICE, step * 5_000, 1000.0 * world.now_s()
+            )
+            await world.lead(leader, generator.uniform(0.5, 6.0))
+            if generator.random() < 0.5:
+                leader.on_follower("the registry named another VM")
+        world.store_up, world.loss, world.late = True, 0.0, 0.0
+        for name, instance in world.instances.items():
+            instance.reachable = True
+            world.listed[name] = instance.entry()
+        await world.lead(controllers[0], 30.0)
+        assert world.uncovered() == 0
+
+    lease_world.play(scenario, 4, seed)
+
+
+def test_a_controller_that_grants_before_it_waits_is_found(monkeypatch):
+    """The checker of this world must see a wrong rule."""
+    monkeypatch.setattr(controller, "LATEST_ARRIVAL_MS", -3_000.0)
+    monkeypatch.setattr(controller, "CLOCK_MARGIN", 0.1)
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        world.instances["i-1"].reachable = False
+        await world.lead(leader, 8.0)
+
+    with pytest.raises(AssertionError):
+        lease_world.play(scenario)
--- a/src/wasabivalve/placement/core.py
+++ b/src/wasabivalve/placement/core.py
@@ -34,7 +34,7 @@
 QUEUE_ALLOWANCE = 2
 """Requests beyond its slots that an instance is trusted to queue."""
 
-OWN_ALLOWANCE = 1
+OWN_ALLOWANCE = 2
 """Requests beyond the slots that one VM sends to an instance at once."""
 
 RECENT_ERROR_WEIGHT = 0.2
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -210,7 +210,10 @@
         leave = self._loop.create_task(self._store.leave(GROUP, self._settings.vm))
         grace_s = (self._settings.grace_ms - EXIT_RESERVE_MS) / SECOND_MS
         rotation_s = min(ROTATION_S, 0.6 * grace_s)
+        self._gateway.ends_by = started + grace_s
         await asyncio.sleep(rotation_s)
+        # From here on a new connection is better refused than cut at the end.
+        self._gateway.stop_listening()
         while self._loop.time() < started + grace_s:
             self._gateway.close_idle_callers()
             if not self._gateway.busy:
@@ -408,6 +411,7 @@
             321 if after is not None else 322,
             instance=known.id,
             service=known.service,
+            data_centre=known.data_centre,
             born=known.born,
             draining=known.draining,
         )
@@ -439,6 +443,7 @@
         except msgspec.DecodeError as error:
             events.emit(203, topic=LEDGER_TOPIC, offset=record.offset, error=str(error))
             return
+        self._controller.on_record(key_map)
         self._take_map(key_map)
 
     def _take_map(self, key_map: key_leases.KeyMap) -> None:
--- a/src/wasabivalve/platform/grants.py
+++ b/src/wasabivalve/platform/grants.py
@@ -46,7 +46,9 @@
         if handover is not None:
             body["handover"] = handover
         answer = await self._call(instance, b"/api/grant", body, timeout_ms)
-        if answer is None:
+        if isinstance(answer, upstream_connection.NotSent):
+            return "not_sent"
+        if isinstance(answer, upstream_connection.Broken):
             return "no_answer"
         if answer.status == 200:
             return "granted"
@@ -63,7 +65,7 @@
         """Take a range back; the answer comes once the work on it has ended."""
         body: dict[str, object] = {"from": first, "target": last, "fence": token}
         answer = await self._call(instance, b"/api/release", body, timeout_ms)
-        if answer is None or answer.status != 200:
+        if not isinstance(answer, messages.Answer) or answer.status != 200:
             return None
         value = answer.header(b"handover")
         return controller.Released(value.decode("latin-1") if value else None)
@@ -74,7 +76,7 @@
         target: bytes,
         body: dict[str, object],
         timeout_ms: float,
-    ) -> messages.Answer | None:
+    ) -> upstream_connection.Outcome | upstream_connection.NotSent:
         name = (instance.id, instance.born)
         headers = [
             (b"host", f"{instance.host}:{instance.port}".encode()),
@@ -96,16 +98,16 @@
                 instance.host, instance.port, CONNECT_TIMEOUT_S
             )
             if isinstance(opened, upstream_connection.NotSent):
-                return None
+                return opened
             connection = opened
         kept = False
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
                 outcome = await connection.exchange(data)
             kept = connection.usable and isinstance(outcome, messages.Answer)
-            return outcome if isinstance(outcome, messages.Answer) else None
+            return outcome
         except TimeoutError:
-            return None
+            return upstream_connection.Broken("no answer in time")
         finally:
             # A reset keeps an order that is still on its way from arriving late.
             if kept and name not in self._idle:
--- /dev/null
+++ b/src/wasabivalve/platform/tests/store_stand_in.py
@@ -0,0 +1,159 @@
+"""Stand in for the platform's metadata store over HTTP on loopback."""
+
+import asyncio
+import base64
+import struct
+import urllib.parse
+
+import msgspec
+
+from wasabivalve.gateway import caller_connection, messages
+
+LENGTH = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
+PAGE_ROWS = 3
+"""Rows of a page; small, so that tests read more than one."""
+
+
+def _answer(status, body=None):
+    data = msgspec.json.encode(body) if body is not None else b""
+    headers = [(b"content-type", b"application/json")]
+    return messages.Answer(status, b"", headers, data)
+
+
+class StoreStandIn:
+    """Hold topics and groups; ``refusing`` answers 503, ``losing`` answers nothing."""
+
+    def __init__(self):
+        self.stopping = False
+        self.refusing = False
+        self.losing = 0
+        self.records_by_topic = {}
+        self.first_by_topic = {}
+        self.members_by_group = {}
+        self.calls = []
+        self._server = None
+        self._changed = asyncio.Event()
+        self.port = 0
+
+    async def start(self):
+        """Listen on a free port of loopback."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: caller_connection.CallerConnection(self), "127.0.0.1", 0
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self):
+        """Stop listening."""
+        self._server.close()
+
+    def limits(self):
+        """Return limits for the clients of a test."""
+        return caller_connection.DEFAULT_LIMITS
+
+    def on_open(self, connection):
+        """Do nothing."""
+
+    def on_closed(self, connection):
+        """Do nothing."""
+
+    def put(self, topic, key, value):
+        """Append a keyed record and return its offset."""
+        content = bytes([len(key)]) + key.encode() + (value or b"")
+        records = self.records_by_topic.setdefault(topic, [])
+        records.append(content)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return len(records) - 1
+
+    def trim(self, topic, first):
+        """Delete the records before an offset; the newest of each key stays."""
+        self.first_by_topic[topic] = first
+
+    async def handle(self, request):
+        """Answer one call."""
+        url = urllib.parse.urlsplit(request.target.decode())
+        query = dict(urllib.parse.parse_qsl(url.query))
+        self.calls.append((url.path, query))
+        if self.refusing:
+            return _answer(503)
+        name = url.path.rpartition("/")[2].replace("-", "_")
+        answer = await getattr(self, f"_{name}")(query, request.body)
+        if self.losing:
+            self.losing -= 1
+            await asyncio.sleep(3600)
+        return answer
+
+    async def _log_append(self, query, body):
+        records = self.records_by_topic.setdefault(query["topic"], [])
+        if "at" in query and int(query["at"]) != len(records):
+            return _answer(412, {"end": len(records)})
+        offset = len(records)
+        position = 0
+        while position < len(body):
+            (length,) = LENGTH.unpack_from(body, position)
+            position += LENGTH.size
+            records.append(body[position : position + length])
+            position += length
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return _answer(200, {"offset": offset, "end": len(records)})
+
+    async def _log_read(self, query, body):
+        topic, start = query["topic"], int(query["from"])
+        first = self.first_by_topic.get(topic, 0)
+        if start < first:
+            return _answer(410, {"first": first})
+        records = self.records_by_topic.setdefault(topic, [])
+        if start >= len(records) and "wait_ms" in query:
+            try:
+                wait_s = int(query["wait_ms"]) / 1000.0
+                await asyncio.wait_for(self._changed.wait(), wait_s)
+            except TimeoutError:
+                pass
+        data = OFFSETS.pack(len(records), first)
+        for content in records[start:]:
+            data += LENGTH.pack(len(content)) + content
+        return messages.Answer(200, b"", [], data)
+
+    async def _log_newest(self, query, body):
+        newest = {}
+        for offset, content in enumerate(self.records_by_topic.get(query["topic"], [])):
+            key = content[1 : 1 + content[0]].decode()
+            value = content[1 + content[0] :]
+            newest.pop(key, None)
+            if value:
+                newest[key] = {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "offset": offset,
+                }
+        after = query.get("after", "")
+        rows = sorted(
+            (row for row in newest.values() if row["key"] > after),
+            key=lambda row: row["key"],
+        )
+        page = rows[:PAGE_ROWS]
+        end = len(self.records_by_topic.get(query["topic"], []))
+        return _answer(200, {"items": page, "more": len(rows) > len(page), "end": end})
+
+    async def _log_join(self, query, body):
+        document = msgspec.json.decode(body)
+        members = self.members_by_group.setdefault(document["group"], [])
+        if document["member"] not in members:
+            members.append(document["member"])
+        index = members.index(document["member"])
+        parts = [
+            [document["topics"][0], part, 0]
+            for part in range(8)
+            if part % len(members) == index
+        ]
+        return _answer(200, {"generation": len(members), "parts": parts})
+
+    async def _log_leave(self, query, body):
+        document = msgspec.json.decode(body)
+        members = self.members_by_group.get(document["group"], [])
+        if document["member"] in members:
+            members.remove(document["member"])
+        return _answer(200, {})
--- /dev/null
+++ b/src/wasabivalve/platform/tests/test_decoding.py
@@ -0,0 +1,167 @@
+"""Guard what the adapter reads from others: bad input is kept out with its place."""
+
+import msgspec
+import pytest
+
+from wasabivalve.platform import desired_state, headers, instances, settings
+
+ENTRY = {
+    "service": "desk",
+    "address": "10.0.0.1:8080",
+    "zone": "east",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup_left_s": 1.5,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+ROUTE = {
+    "host": "Desk.Example",
+    "path_prefix": "/a/",
+    "kind": "safe",
+    "timeout_s": 1,
+    "target_latency_s": 0.3,
+    "priority": 1,
+    "service": "desk",
+    "max_attempts": 2,
+}
+
+LIMITS = {
+    "max_header_bytes": 16_384,
+    "max_body_bytes": 1_000,
+    "header_timeout_s": 3,
+    "idle_timeout_s": 15,
+}
+
+SETTINGS = """
+node = "front-1"
+ip = "10.1.0.15"
+zone = "east"
+internal_ports = [7620, 7635]
+bounds = ["grace_s=6", "retry_budget_ratio=0.2", "budget_window_s=10",
+    "budget_slack=58", "hold_max_s=10", "flag=true"]
+unknown_field = 1
+[zones]
+east = "coast"
+[listen]
+front = "10.1.0.15:8641"
+ready_address = "10.1.0.15:8640"
+[platform]
+address = "10.200.1.7:8642"
+ttl_min_s = 1
+"""
+
+
+def encode(version=7, route=ROUTE, limits=LIMITS):
+    resources = [
+        {"resource_kind": "routes", "metadata": {"name": "r"}, "spec": route},
+        {
+            "resource_kind": "services",
+            "metadata": {"name": "desk"},
+            "spec": {"max_connections": 110, "sharded": True},
+        },
+        {"resource_kind": "limits", "metadata": {}, "spec": limits},
+        {"resource_kind": "later", "metadata": {}, "spec": {}},
+    ]
+    return msgspec.json.encode({"version": version, "resources": resources})
+
+
+def test_entry_is_decoded_into_units_of_the_product():
+    """A warm-up read as milliseconds would send full load to a cold instance."""
+    instance = instances.decode("i-1", msgspec.json.encode(ENTRY))
+    assert (instance.host, instance.port) == ("10.0.0.1", 8080)
+    assert instance.warmup_left_ms == 1_500.0
+    assert not instance.draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "leaving"},
+        {"address": "nowhere"},
+        {"slots": "2"},
+        {"sequence": True},
+        {"born": 1.5},
+        {"zone": None},
+    ],
+)
+def test_foreign_entry_names_no_instance(change):
+    """An entry of another writer would draw requests to an address of nobody."""
+    with pytest.raises(instances.Malformed):
+        instances.decode("i-1", msgspec.json.encode({**ENTRY, **change}))
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"[]", b"{", b"3"])
+def test_unreadable_entry_names_no_instance(data):
+    """Bytes that cannot be read must not end the process."""
+    with pytest.raises(instances.Malformed):
+        instances.decode("i-1", data)
+
+
+def test_desired_state_is_decoded():
+    """A split or kind read wrongly would run work twice or in the wrong service."""
+    state = desired_state.decode(encode())
+    route = state.routes[0]
+    assert route.host == "desk.example"
+    assert route.idempotent
+    assert (route.timeout_ms, route.target_latency_ms) == (1_000.0, 300.0)
+    assert state.service_by_name["desk"].divided
+    assert state.limits.idle_timeout_ms == 15_000.0
+
+
+def test_only_safe_requests_are_idempotent():
+    """A kind that is not known must not be repeated."""
+    state = desired_state.decode(encode(route={**ROUTE, "kind": "other"}))
+    assert not state.routes[0].idempotent
+
+
+@pytest.mark.parametrize(
+    ("route", "place"),
+    [
+        ({**ROUTE, "path_prefix": "/a"}, "resources[0].spec.path_prefix"),
+        ({**ROUTE, "timeout_s": "1"}, "resources[0].spec.timeout_s"),
+        ({**ROUTE, "traffic_split": []}, "resources[0].spec.traffic_split"),
+        ({k: v for k, v in ROUTE.items() if k != "host"}, "resources[0].spec.host"),
+    ],
+)
+def test_malformed_desired_state_names_its_place(route, place):
+    """An operator who is not told the place searches the whole document."""
+    with pytest.raises(desired_state.Malformed, match=place.replace("[", r"\[")):
+        desired_state.decode(encode(route=route))
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    """A new field of the platform must not keep a process from starting."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    loaded = settings.load(path)
+    assert loaded.callers == settings.Address("10.1.0.15", 8641)
+    assert loaded.link == settings.Address("10.1.0.15", 7620)
+    assert loaded.grace_ms == 6_000.0
+    assert loaded.repeat_allowance == 58.0
+
+
+def test_all_findings_of_settings_come_at_once(tmp_path):
+    """A start for each finding would cost an operator one restart each."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace('zone = "east"', "").replace("8641", "x"))
+    rejected = settings.load(path)
+    assert {one.path for one in rejected.findings} == {"zone", "listen.front"}
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [(b"1500", 1.5), (b"0", 0.0), (b"x", None), (b"-1", None), (b"nan", None)],
+)
+def test_time_left_is_read(value, seconds):
+    """A time limit that is not a number must not reach the arithmetic."""
+    assert headers.DIALECT.decode_time_left(value) == seconds
+
+
+def test_key_outside_of_the_key_space_is_none():
+    """A key beyond the last range has no holder to wait for."""
+    assert headers.DIALECT.decode_key(b"65535") == 65_535
+    assert headers.DIALECT.decode_key(b"65536") is None
+    assert headers.DIALECT.decode_key(b"-1") is None
--- /dev/null
+++ b/src/wasabivalve/platform/tests/test_store.py
@@ -0,0 +1,125 @@
+"""Guard the one client of the platform's store."""
+
+import asyncio
+import importlib.util
+import pathlib
+
+from wasabivalve.keyed_log import core as keyed_log
+from wasabivalve.platform import settings, store
+
+HERE = pathlib.Path(__file__).parent
+
+
+def load_stand_in(name):
+    spec = importlib.util.spec_from_file_location(name, HERE / f"{name}.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+store_stand_in = load_stand_in("store_stand_in")
+
+
+def run(scenario):
+    """Run a scenario with a started stand-in and a client of it."""
+
+    async def main():
+        stand_in = store_stand_in.StoreStandIn()
+        await stand_in.start()
+        client = store.Store(settings.Address("127.0.0.1", stand_in.port))
+        try:
+            await scenario(stand_in, client)
+        finally:
+            client.close()
+            stand_in.close()
+
+    asyncio.run(main())
+
+
+def test_listing_joins_all_pages():
+    """A listing that stops at the first page would lose instances."""
+
+    async def scenario(stand_in, client):
+        for number in range(8):
+            stand_in.put("keyed.servers", f"i-{number}", b"{}")
+        listing = await client.newest("keyed.servers")
+        assert [one.key for one in listing.records] == [f"i-{n}" for n in range(8)]
+        assert listing.end == 8
+
+    run(scenario)
+
+
+def test_read_returns_removals_and_offsets():
+    """A removal read as an empty entry would keep an instance that is gone."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("keyed.servers", "a", b"1")
+        stand_in.put("keyed.servers", "a", None)
+        batch = await client.read("keyed.servers", 1, 0.0)
+        assert batch.records == [keyed_log.Record(1, "a", None)]
+        assert batch.end == 2
+
+    run(scenario)
+
+
+def test_read_tells_that_records_are_deleted():
+    """A reader that is not told would miss what changed in the gap."""
+
+    async def scenario(stand_in, client):
+        stand_in.put("keyed.op", "config", b"1")
+        stand_in.trim("keyed.op", 1)
+        assert await client.read("keyed.op", 0, 0.0) == keyed_log.Trimmed(1)
+
+    run(scenario)
+
+
+def test_conditional_append_has_one_winner():
+    """Two controllers that both believe to have won would grant keys twice."""
+
+    async def scenario(stand_in, client):
+        first = await client.append("keyed.keys", "map", b"1", at=0)
+        second = await client.append("keyed.keys", "map", b"2", at=0)
+        assert (first, second) == ("done", "moved")
+
+    run(scenario)
+
+
+def test_append_without_an_answer_is_unknown(monkeypatch):
+    """An append taken as failed may still be done seconds later."""
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.05)
+
+    async def scenario(stand_in, client):
+        stand_in.losing = 1
+        assert await client.append("keyed.keys", "map", b"1", at=0) == "unknown"
+        assert len(stand_in.records_by_topic["keyed.keys"]) == 1
+
+    run(scenario)
+
+
+def test_refusal_and_silence_are_unavailable(monkeypatch):
+    """An outage taken as an empty topic would remove every instance."""
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.05)
+
+    async def scenario(stand_in, client):
+        stand_in.refusing = True
+        listing = await client.newest("keyed.servers")
+        assert isinstance(listing, keyed_log.Unavailable)
+        stand_in.refusing = False
+        stand_in.losing = 1
+        batch = await client.read("keyed.servers", 0, 0.0)
+        assert isinstance(batch, keyed_log.Unavailable)
+
+    run(scenario)
+
+
+def test_partitions_of_a_group_have_one_member():
+    """Two members with the controller's partition would both control keys."""
+
+    async def scenario(stand_in, client):
+        await client.join("g", "a", "t", 1.5, 0)
+        second = await client.join("g", "b", "t", 1.5, 0)
+        first = await client.join("g", "a", "t", 1.5, 0)
+        assert 0 in first.parts
+        assert not first.parts & second.parts
+
+    run(scenario)
