Move hot keys to the instance that is least used with them; spread ties by chance

A request that was sent again to the silent holder of its key lost its place in the queue. Change: a range that cannot be divided goes where the use after the move is lowest; costs within 30 % count as equal; keyed requests are not sent again while silent.

--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import random
 import statistics
 from collections.abc import Callable
 from typing import NamedTuple
@@ -135,6 +136,7 @@
         self._service_time_by_route: dict[str, float] = {}
         self._kilobytes_by_route: dict[str, float] = {}
         self._connections: set[caller_connection.CallerConnection] = set()
+        self._generator = random.Random()
         self._owners_changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -397,6 +399,7 @@
             work.route.target_latency_ms,
             self._kilobytes_by_route.get(work.route.name, 2.0),
             work.excluded if work.key is None else (),
+            self._generator,
             now,
         )
 
@@ -471,6 +474,9 @@
         """
         if not work.route.idempotent or work.attempts >= work.route.most_attempts:
             return work.end_at
+        if work.key is not None:
+            # The same instance would get it again, at the end of its queue.
+            return work.end_at
         patience_ms = max(work.route.target_latency_ms, SILENCE_FACTOR * estimate_ms)
         return min(work.end_at, now + patience_ms / 1000.0)
 
--- a/src/wasabivalve/key_leases/planning.py
+++ b/src/wasabivalve/key_leases/planning.py
@@ -4,7 +4,7 @@
 these change within seconds; every move costs its keys a pause.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from . import core, key_loads
@@ -181,14 +181,8 @@
             )
         ]
         move = _shed(
-            service,
-            held,
-            by_id[heaviest].capacity,
-            by_id[lightest],
-            loads,
-            use_by_id[heaviest],
-            use_by_id[lightest],
-        )
+            service, held, by_id[heaviest], by_id[lightest], loads, use_by_id
+        ) or _move_whole(service, held, heaviest, targets, loads, use_by_id)
         if move is None:
             stuck.add(heaviest)
             continue
@@ -201,36 +195,62 @@
 def _shed(
     service: str,
     held: Sequence[core.KeyRange],
-    capacity: float,
+    source: Target,
     target: Target,
     loads: key_loads.LoadProfile,
-    use: float,
-    target_use: float,
+    use_by_id: Mapping[str, float],
 ) -> Move | None:
     """Return the move of a part of the held ranges that evens out two instances."""
-    wanted = (use - target_use) / (1.0 / capacity + 1.0 / target.capacity)
+    gap = use_by_id[source.id] - use_by_id[target.id]
+    wanted = gap / (1.0 / source.capacity + 1.0 / target.capacity)
     if wanted <= 0.0:
         return None
 
     def move(first: int, last: int) -> Move:
         return Move(service, first, last, target.id, target.born)
 
-    for one in sorted(
-        held, key=lambda one: loads.range_load(one.first, one.last), reverse=True
-    ):
+    for one in _heaviest_first(held, loads):
         size = loads.range_load(one.first, one.last)
         if size <= wanted:
             return move(one.first, one.last)
-        if one.first < one.last:
-            last = loads.split(one.first, one.last, wanted)
-            front = loads.range_load(one.first, last)
-            if last < one.last and LEAST_PART * wanted <= front <= wanted:
-                return move(one.first, last)
-            # A hot key at the front stays; the rest behind it may go.
-            cut_at = loads.split(one.first, one.last, size - wanted)
-            back = loads.range_load(min(cut_at + 1, one.last), one.last)
-            if cut_at < one.last and LEAST_PART * wanted <= back <= MOST_PART * wanted:
-                return move(cut_at + 1, one.last)
-        if target_use + size / target.capacity <= WORTHWHILE * use:
-            return move(one.first, one.last)
+        if one.first == one.last:
+            continue
+        last = loads.split(one.first, one.last, wanted)
+        front = loads.range_load(one.first, last)
+        if last < one.last and LEAST_PART * wanted <= front <= wanted:
+            return move(one.first, last)
+        # A hot key at the front stays; the rest behind it may go.
+        cut_at = loads.split(one.first, one.last, size - wanted)
+        back = loads.range_load(min(cut_at + 1, one.last), one.last)
+        if cut_at < one.last and LEAST_PART * wanted <= back <= MOST_PART * wanted:
+            return move(cut_at + 1, one.last)
     return None
+
+
+def _move_whole(
+    service: str,
+    held: Sequence[core.KeyRange],
+    heaviest: str,
+    targets: Sequence[Target],
+    loads: key_loads.LoadProfile,
+    use_by_id: Mapping[str, float],
+) -> Move | None:
+    """Return the move of a range that cannot be divided to a faster instance."""
+    for one in _heaviest_first(held, loads):
+        size = loads.range_load(one.first, one.last)
+        use_after, best = min(
+            (use_by_id[target.id] + size / target.capacity, target)
+            for target in targets
+            if target.id != heaviest
+        )
+        if use_after <= WORTHWHILE * use_by_id[heaviest]:
+            return Move(service, one.first, one.last, best.id, best.born)
+    return None
+
+
+def _heaviest_first(
+    held: Sequence[core.KeyRange], loads: key_loads.LoadProfile
+) -> list[core.KeyRange]:
+    return sorted(
+        held, key=lambda one: loads.range_load(one.first, one.last), reverse=True
+    )
--- a/src/wasabivalve/key_leases/tests/test_planning.py
+++ b/src/wasabivalve/key_leases/tests/test_planning.py
@@ -36,6 +36,24 @@
     assert any(move.first <= 50 <= move.last for move in moves)
 
 
+def test_hot_key_goes_to_the_fastest_instance_and_not_to_the_idlest():
+    """A key that fills one instance is served best by the one with most capacity."""
+    targets = [
+        planning.Target("slow", 1, 15.0),
+        planning.Target("idle", 1, 20.0),
+        planning.Target("fast", 1, 50.0),
+    ]
+    ranges = (
+        core.KeyRange(0, 99, "slow", 1),
+        core.KeyRange(100, 199, "idle", 1),
+        core.KeyRange(200, 65_535, "fast", 1),
+    )
+    loads = profile({50: 50.0, 300: 10.0})
+    moves = planning.plan_moves("s", ranges, targets, loads, 6)
+    holder = [one.to_instance for one in moves if one.first <= 50 <= one.last]
+    assert holder == ["fast"]
+
+
 def test_moves_never_overlap():
     """A range that is moved twice in one round is released by the wrong holder."""
     ranges = planning.plan_all("s", TARGETS, profile({}))
--- a/src/wasabivalve/placement/core.py
+++ b/src/wasabivalve/placement/core.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import random
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
@@ -27,6 +28,9 @@
 REGION_CROSSING_FACTOR = 1.25
 """Bytes between regions cost a quarter more than between data centres."""
 
+TIE_SHARE = 0.3
+"""Costs within this share count as the same; estimates are no better than that."""
+
 FIRST_PAUSE_MS = 500.0
 LONGEST_PAUSE_MS = 8_000.0
 """A failing instance is left out for a time that doubles with each failure in a row."""
@@ -173,9 +177,14 @@
     target_latency_ms: float,
     kilobytes: float,
     excluded: Collection[str],
+    generator: random.Random,
     now: float,
 ) -> Choice | None:
-    """Return the cheapest instance with room, or None."""
+    """Return about the cheapest instance with room, or None.
+
+    Chance decides among those that cost about the same: VMs that see only their own
+    requests would otherwise all choose the same one.
+    """
     best: Choice | None = None
     best_cost = math.inf
     for load in loads:
@@ -189,6 +198,7 @@
         # An instance that joined gets a first request from every VM, wherever it is.
         crossing = crossing_cost_ms(distance, target_latency_ms, kilobytes)
         cost = estimate + (crossing if load.samples else 0.5 * crossing)
+        cost *= 1.0 + generator.uniform(0.0, TIE_SHARE)
         if cost < best_cost:
             best, best_cost = Choice(load, estimate), cost
     return best
