End a loop that never waited; take back moves whose record is not written; shares

A controller that was not named any more stopped 1.4 s before its successor had claimed. On the grown site 59 VMs overload the holder of a hot key together, and each map change cost 59 reads. Change: as the subject; a controller goes on until its successor has claimed; VMs refuse at once what is beyond the share of an overloaded holder; maps travel in messages; long work that is not most urgent does not queue at instances.

--- a/src/wasabivalve/desired_state/core.py
+++ b/src/wasabivalve/desired_state/core.py
@@ -60,10 +60,18 @@
     def __init__(self, state: DesiredState) -> None:
         self.state = state
         self._route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        self._most_urgent_by_service: dict[str, int] = {}
         for route in state.routes:
+            for part in route.parts:
+                known = self._most_urgent_by_service.get(part.service, route.rank)
+                self._most_urgent_by_service[part.service] = min(known, route.rank)
             by_prefix = self._route_by_prefix_by_host.setdefault(route.host, {})
             by_prefix[route.path_prefix] = route
 
+    def is_most_urgent(self, route: Route, service: str) -> bool:
+        """Return whether no route to a service is more urgent than this one."""
+        return route.rank <= self._most_urgent_by_service.get(service, route.rank)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a path without its query, or None."""
         by_prefix = self._route_by_prefix_by_host.get(host)
--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -31,6 +31,7 @@
     (312, "INFO", "claim of a term was not confirmed"),
     (313, "WARNING", "grant was not confirmed"),
     (314, "WARNING", "holder of keys is overloaded"),
+    (315, "WARNING", "move of keys was taken back"),
     # Instances, 320 to 349.
     (320, "INFO", "instances were listed"),
     (321, "INFO", "instance joined or changed"),
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 import random
-import statistics
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -45,14 +44,14 @@
 SILENCE_FACTOR = 4.0
 """Multiple of the estimate after which an attempt counts as unanswered."""
 
-SIZE_WEIGHT = 0.1
-"""Weight of the newest sample in the average size of a route's exchanges."""
+AVERAGE_WEIGHT = 0.1
+"""Weight of the newest sample in the averages of a route or service."""
 
 
 LEAST_SPEED_SAMPLES = 8
-SLOWEST = 0.4
-FASTEST = 2.0
-"""Bounds of the observed speed of an instance, relative to the median."""
+SLOWEST = 2.5
+FASTEST = 0.5
+"""Bounds of the slowness of an instance for the keys that it gets."""
 
 
 class Bounds(NamedTuple):
@@ -66,12 +65,14 @@
 class Surroundings(NamedTuple):
     """Give the gateway what other parts know.
 
-    ``owner`` names the instance that holds a key of a divided service;
+    ``owner`` names the instance that holds a key of a divided service; ``admits``
+    takes one request from the share that an overloaded holder can serve;
     ``live_vms`` is the number of entry VMs; ``on_key`` counts requests by key.
     """
 
     instances: Callable[[str], list[placement.Instance]]
     owner: Callable[[str, int], key_view.Holder]
+    admits: Callable[[str | None], bool]
     live_vms: Callable[[], int]
     on_key: Callable[[str, int], None]
 
@@ -100,6 +101,8 @@
         self.key = key
         self.time_left_s = time_left_s
         self.end_at = request.received_at + min(time_left_s, route.timeout_ms / 1000.0)
+        self.urgent = True
+        self.admitted = False
         self.attempts = 0
         self.may_have_run = False
         self.excluded: set[str] = set()
@@ -134,6 +137,7 @@
         self._line_by_name: dict[str, waiting.WaitingLine] = {}
         self._window_by_service: dict[str, retries.RepeatWindow] = {}
         self._service_time_by_route: dict[str, float] = {}
+        self._service_time_by_service: dict[str, float] = {}
         self._kilobytes_by_route: dict[str, float] = {}
         self._connections: set[caller_connection.CallerConnection] = set()
         self._generator = random.Random()
@@ -280,6 +284,10 @@
             key,
         )
         work.end_at = min(work.end_at, self.ends_by)
+        assert self._table is not None
+        work.urgent = self._table.is_most_urgent(route, service.name)
+        # The most urgent work takes no share: what is less urgent makes room for it.
+        work.admitted = work.urgent and route.rank == 0
         return work
 
     async def _forward(self, work: _Work) -> messages.Answer:
@@ -311,6 +319,9 @@
         assert self._loop is not None
         give_up_at = self._give_up_at(work)
         while True:
+            if work.end_at - self._loop.time() < LEAST_ATTEMPT_S:
+                work.trail.append("no-time")
+                return None
             if not await self._wait_for_owner(work, give_up_at):
                 return None
             name = self._line_name(work)
@@ -361,7 +372,11 @@
             now = self._loop.time()
             moved = holder.instance == work.moved_from and now < work.not_before
             if holder.instance is not None and not moved:
-                return True
+                if work.admitted or self._surroundings.admits(holder.instance):
+                    work.admitted = True
+                    return True
+                work.trail.append("over-share")
+                return False
             until = holder.moving_until
             if until is not None and until / 1000.0 - LONGEST_MOVE_S > give_up_at:
                 work.trail.append("key-lost")
@@ -399,6 +414,7 @@
             work.route.target_latency_ms,
             self._kilobytes_by_route.get(work.route.name, 2.0),
             work.excluded if work.key is None else (),
+            work.urgent,
             self._generator,
             now,
         )
@@ -524,15 +540,16 @@
             load.on_report(report.running, report.waiting, 1000.0 * now)
         if outcome.status >= 500 or outcome.header(self._dialect.not_run):
             return
-        load.on_answer(1000.0 * (now - started), load_at_start, 1000.0 * now)
-        route = work.route.name
-        size = (len(outcome.body) + len(work.request.body)) / 1000.0
-        known = self._kilobytes_by_route.get(route, size)
-        self._kilobytes_by_route[route] = known + SIZE_WEIGHT * (size - known)
-        known = self._service_time_by_route.get(route, load.service_time_ms)
-        self._service_time_by_route[route] = known + placement.SERVICE_TIME_WEIGHT * (
-            load.service_time_ms - known
+        typical = self._service_time_ms(work.route)
+        sample = load.on_answer(
+            1000.0 * (now - started), load_at_start, typical, 1000.0 * now
         )
+        route, service = work.route.name, work.service.name
+        normal = sample / load.slowness
+        _average(self._service_time_by_route, route, normal)
+        _average(self._service_time_by_service, service, normal)
+        size = (len(outcome.body) + len(work.request.body)) / 1000.0
+        _average(self._kilobytes_by_route, route, size)
 
     def _judge(
         self, work: _Work, load: placement.InstanceLoad, attempt: _Attempt
@@ -547,8 +564,7 @@
             if outcome.reason.startswith("connection"):
                 load.on_failure(now_ms, connected=False)
                 self.pool.close_idle(instance)
-            work.excluded.add(instance.id)
-            return None
+            return self._on_refusal(work, instance)
         if isinstance(outcome, upstream_connection.Broken):
             work.trail.append(outcome.reason)
             load.on_failure(now_ms, connected=True)
@@ -562,14 +578,8 @@
             )
         if outcome.header(self._dialect.not_run) is not None or outcome.status == 421:
             work.trail.append(f"not-run-{outcome.status}")
-            work.excluded.add(instance.id)
-            work.moved_from = instance.id
             work.attempts -= 1
-            work.sends += 1
-            if work.sends >= MOST_REFUSED_SENDS:
-                return self._give_up(work)
-            work.not_before = self._loop.time() + MOVED_WAIT_S
-            return None
+            return self._on_refusal(work, instance)
         if self._is_garbled(outcome):
             work.trail.append("garbled")
             work.may_have_run = True
@@ -585,6 +595,19 @@
                 return None
         return self._pass_on(outcome)
 
+    def _on_refusal(
+        self, work: _Work, instance: placement.Instance
+    ) -> messages.Answer | None:
+        """Look for another holder or instance after one certainly did not run it."""
+        assert self._loop is not None
+        work.excluded.add(instance.id)
+        work.sends += 1
+        if work.sends >= MOST_REFUSED_SENDS:
+            return self._give_up(work)
+        work.moved_from = instance.id
+        work.not_before = self._loop.time() + MOVED_WAIT_S
+        return None
+
     def _is_garbled(self, answer: messages.Answer) -> bool:
         if answer.header(b"content-encoding") is not None:
             return True
@@ -654,18 +677,16 @@
 
     def capacity(self, instance: placement.Instance) -> float:
         """Return the requests per second that an instance can serve."""
-        known = [
-            load.service_time_ms
-            for load in self._load_by_life.values()
-            if load.instance.service == instance.service
-            and load.samples >= LEAST_SPEED_SAMPLES
-        ]
-        typical = (
-            statistics.median(known) if known else (placement.INITIAL_SERVICE_TIME_MS)
+        typical = self._service_time_by_service.get(
+            instance.service, placement.INITIAL_SERVICE_TIME_MS
         )
         own = self._load_by_life.get(pool.Life(instance.id, instance.born))
-        service_time = typical
+        slowness = 1.0
         if own is not None and own.samples >= LEAST_SPEED_SAMPLES:
-            fastest, slowest = typical / FASTEST, typical / SLOWEST
-            service_time = min(slowest, max(fastest, own.service_time_ms))
-        return max(1, instance.slots) * 1000.0 / max(1.0, service_time)
+            slowness = min(SLOWEST, max(FASTEST, own.slowness))
+        return max(1, instance.slots) * 1000.0 / (typical * slowness)
+
+
+def _average(known_by_name: dict[str, float], name: str, sample: float) -> None:
+    known = known_by_name.get(name, sample)
+    known_by_name[name] = known + AVERAGE_WEIGHT * (sample - known)
--- a/src/wasabivalve/gateway/tests/test_forwarding.py
+++ b/src/wasabivalve/gateway/tests/test_forwarding.py
@@ -120,6 +120,7 @@
             LIMITS,
         )
         self.holder = view.Holder("i-0")
+        self.admitting = True
         self.gateway = core.Gateway(
             DIALECT,
             placement.Places("east", {"east": "coast"}),
@@ -130,6 +131,7 @@
                     for index, one in enumerate(self.upstreams)
                 ],
                 lambda service, key: self.holder,
+                lambda instance: self.admitting,
                 lambda: 1,
                 lambda service, key: None,
             ),
@@ -364,6 +366,29 @@
     play(scenario, script, script, timeout_ms=2_000.0)
 
 
+def test_request_without_time_is_refused_without_blocking_others():
+    """A loop that never waits stopped a whole VM until it was killed."""
+
+    async def scenario(scene):
+        assert (await scene.ask(headers="key: 7\r\n"))[0] == 200
+        status, _, _ = await scene.ask(headers="key: 7\r\ntime-left: 5\r\n")
+        assert status == 503
+        assert len(scene.upstreams[0].requests) == 1
+
+    play(scenario, [OK], divided=True)
+
+
+def test_unreachable_holder_of_a_key_is_not_asked_without_pause():
+    """Connections that fail at once must not keep a VM busy."""
+
+    async def scenario(scene):
+        scene.upstreams[0].close()
+        status, _, _ = await scene.ask(headers="key: 7\r\n")
+        assert status == 503
+
+    play(scenario, [], divided=True)
+
+
 def test_unknown_host_or_path_has_no_route():
     """Requests without a route must not reach any instance."""
 
@@ -460,6 +485,18 @@
     play(scenario, [OK], divided=True)
 
 
+def test_request_beyond_the_share_of_a_holder_is_refused_at_once():
+    """What an overloaded holder cannot serve must not wait until it is too late."""
+
+    async def scenario(scene):
+        scene.admitting = False
+        status, fields, _ = await scene.ask(headers="key: 7\r\n")
+        assert status == 503 and float(fields["retry-after"]) > 0.0
+        assert not scene.upstreams[0].requests
+
+    play(scenario, [OK], divided=True)
+
+
 def test_key_refused_by_its_old_holder_goes_to_the_new_one():
     """A refusal while a key moves must not use up the attempts of a request."""
     moved = NOT_RUN.replace(b"503 Busy", b"421 Moved")
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import math
 import uuid
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from typing import Any, Literal, NamedTuple
@@ -48,6 +49,9 @@
 LOST_AFTER_MS = 900.0
 """Renewals that fail for this long make an instance count as lost."""
 
+NO_WRITE = -1
+"""Number of a message about ranges whose recorded holder has not changed."""
+
 MOST_UNANSWERED = 3
 """Grants without an answer after which no more are sent to a silent instance."""
 
@@ -78,7 +82,10 @@
 GrantResult = Literal["granted", "refused", "not_sent", "no_answer"]
 """Only a grant that was not sent certainly does not arrive."""
 
-AppendResult = Literal["done", "moved", "unknown"]
+AppendResult = Literal["done", "moved", "refused", "unknown"]
+"""A refused append was certainly not done; an unknown one may be done seconds later."""
+
+WriteResult = Literal["written", "aborted", "superseded"]
 
 
 class Released(NamedTuple):
@@ -123,6 +130,7 @@
     on_map: Callable[[core.KeyMap], None]
     on_moving: Callable[[list[view.MovingRange], float], None]
     on_settled: Callable[[int, int, str, list[core.KeyRange]], None]
+    on_shares: Callable[[dict[str, float]], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -158,6 +166,7 @@
         self._around = surroundings
         self._writer = uuid.uuid4().hex
         self._leads = False
+        self._named = False
         self._confirmed_at = 0.0
         self._term: int | None = None
         self._map = core.EMPTY
@@ -194,9 +203,19 @@
         """Note that the registry named this VM leader by a call sent at this time."""
         if not self._leads:
             events.emit(310, vm=self._vm)
-        self._leads = True
+        self._leads = self._named = True
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
+    def on_other_named(self) -> None:
+        """Note that the registry named another VM.
+
+        This one goes on until the other has claimed its term in the ledger: keys must
+        not be without a controller in between, and the ledger admits only one.
+        """
+        self._named = False
+        if self._term is None:
+            self._leads = False
+
     def on_follower(self, reason: str) -> None:
         """Stop all orders, as another VM leads or may lead."""
         if self._leads:
@@ -257,11 +276,15 @@
         events.emit(304, term=self._term, ranges=len(self._holds))
 
     async def _write(
-        self, ranges_by_service: Mapping[str, list[core.KeyRange]]
-    ) -> bool:
-        """Record ranges; return whether they are certainly recorded in this term."""
+        self,
+        ranges_by_service: Mapping[str, list[core.KeyRange]],
+        patience_ms: float = math.inf,
+    ) -> WriteResult:
+        """Record ranges; give up after a time if they are certainly not recorded."""
         async with self._writing:
             term = self._term
+            give_up_at = self._calls.now() + patience_ms
+            certain = True
             changed = {
                 service: core.merge(ranges)
                 for service, ranges in ranges_by_service.items()
@@ -280,16 +303,25 @@
                     newest = ledger.key_map
                     if (newest.writer, newest.number) != (new.writer, new.number):
                         self.on_follower("another controller wrote to the ledger")
-                        return False
+                        return "superseded"
                     result = "done"
                 if result == "done":
                     if self._term != term:
-                        return False
+                        return "superseded"
                     self._end += 1
                     self._take_map(new)
-                    return True
+                    return "written"
+                certain = certain and result == "refused"
+                if certain and self._calls.now() >= give_up_at:
+                    return "aborted"
                 await asyncio.sleep(RETRY_WRITE_S)
-            return False
+            return "superseded"
+
+    async def _can_write(self) -> bool:
+        """Return whether the store answers and this term is still the newest."""
+        term = self._term
+        ledger = await self._calls.read_ledger()
+        return ledger is not None and self._term == term and ledger.end == self._end
 
     def _take_map(self, key_map: core.KeyMap) -> None:
         self._map = key_map
@@ -360,7 +392,7 @@
                 hold.announced = False
                 self._avoided_until.pop((instance.id, instance.born), None)
                 self._around.on_settled(
-                    self._map.term, self._map.number, hold.service, [hold.range]
+                    self._map.term, NO_WRITE, hold.service, [hold.range]
                 )
             hold.handover = None
             return
@@ -390,7 +422,8 @@
         if not self._leads:
             return
         if self._term is None:
-            await self._claim()
+            if self._named:
+                await self._claim()
             return
         if not self._has_authority():
             return
@@ -404,7 +437,7 @@
             else:
                 await self._replace_lost(service)
         now = self._calls.now()
-        if now >= self._balanced_at + BALANCE_INTERVAL_MS:
+        if self._named and now >= self._balanced_at + BALANCE_INTERVAL_MS:
             self._balanced_at = now
             for service in self._around.divided_services():
                 await self._balance(service)
@@ -463,7 +496,7 @@
             return
         loads = self._around.loads(service)
         ranges = planning.plan_all(service, targets, loads)
-        if not await self._write({service: list(ranges)}):
+        if await self._write({service: list(ranges)}) != "written":
             return
         events.emit(302, service=service, ranges=len(ranges), reason="first plan")
         for one in ranges:
@@ -565,7 +598,8 @@
         free: Sequence[_Hold],
         moves: Sequence[planning.Move],
         reason: str,
-    ) -> None:
+        patience_ms: float = math.inf,
+    ) -> WriteResult:
         """Record free ranges for their new holders and grant them."""
         ranges = [hold.range for hold in self._of(service) if hold not in free]
         new = []
@@ -578,8 +612,9 @@
                     hold.handover = source.handover
                     new.append(hold)
                     break
-        if not await self._write({service: ranges}):
-            return
+        result = await self._write({service: ranges}, patience_ms)
+        if result != "written":
+            return result
         self._holds = [hold for hold in self._holds if hold not in free] + new
         for hold in new:
             events.emit(
@@ -600,6 +635,7 @@
         settled = [hold.range for hold in new]
         if self._term == term:
             self._around.on_settled(term, number, service, settled)
+        return "written"
 
     async def _balance(self, service: str) -> None:
         holds = self._of(service)
@@ -612,7 +648,8 @@
         pressure = planning.find_pressure(ranges, targets, loads)
         if pressure is not None and pressure.rate > OVERLOAD * pressure.capacity:
             events.emit(314, service=service, moves=len(moves), **pressure._asdict())
-        if not moves:
+        self._around.on_shares(planning.find_shares(ranges, targets, loads))
+        if not moves or not await self._can_write():
             return
         moving = [view.MovingRange(service, one.first, one.last) for one in moves]
         self._around.on_moving(moving, PLANNED_PAUSE_MS)
@@ -647,8 +684,17 @@
             for hold in free
             if any(m.first <= hold.range.first <= m.last for m in done)
         ]
-        if free and self._has_authority():
-            await self._hand_over(service, free, done, "balance")
+        if not free or not self._has_authority():
+            return
+        result = await self._hand_over(service, free, done, "balance", PLANNED_PAUSE_MS)
+        if result == "aborted":
+            # The record still names the old holders: they may have their keys back.
+            for hold in free:
+                hold.free = hold.frozen = False
+                hold.token = self._next_token()
+                hold.due_at = 0.0
+                hold.announced = True
+            events.emit(315, service=service, ranges=len(free))
 
     def _split(self, service: str, first: int, last: int) -> None:
         """Cut holds so that the range from first to last has holds of its own."""
--- a/src/wasabivalve/key_leases/planning.py
+++ b/src/wasabivalve/key_leases/planning.py
@@ -25,6 +25,12 @@
 """Bounds of what one move carries, relative to what would even out two instances."""
 
 
+OVERLOADED = 1.15
+"""Load over capacity from which requests are refused; both are estimates."""
+
+LEAST_SHARE = 0.1
+
+
 class Pressure(NamedTuple):
     """Describe the most used instance; rates in requests per second."""
 
@@ -68,6 +74,25 @@
     to_born: int
 
 
+def find_shares(
+    ranges: Sequence[core.KeyRange],
+    targets: Sequence[Target],
+    loads: key_loads.LoadProfile,
+) -> dict[str, float]:
+    """Return the share of its requests that each overloaded instance can serve.
+
+    Many VMs send a few requests a second each to the holder of a hot key: none of
+    them sees by itself that together they send several times what it can serve.
+    """
+    load_by_id = _load_by_target(ranges, targets, loads)
+    share_by_id = {}
+    for target in targets:
+        load = load_by_id[target.id]
+        if load > OVERLOADED * target.capacity:
+            share_by_id[target.id] = max(LEAST_SHARE, target.capacity / load)
+    return share_by_id
+
+
 def plan_all(
     service: str, targets: Sequence[Target], loads: key_loads.LoadProfile
 ) -> tuple[core.KeyRange, ...]:
--- a/src/wasabivalve/key_leases/tests/lease_world.py
+++ b/src/wasabivalve/key_leases/tests/lease_world.py
@@ -93,6 +93,7 @@
         self.loss = 0.0
         self.late = 0.0
         self.store_up = True
+        self.refuse_only = False
         self.lose_append = 0
         self.ledger = []
         self.instances = {}
@@ -157,6 +158,7 @@
             lambda key_map: None,
             lambda ranges, pause_ms: None,
             lambda term, number, service, ranges: self.settled.append(ranges),
+            lambda share_by_instance: None,
         )
         return controller.Controller(name, 10_000.0, calls, surroundings)
 
@@ -180,7 +182,9 @@
     async def _append(self, key_map, at):
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
         if not self.store_up:
-            return "unknown"
+            if self.refuse_only:
+                return "refused"
+            return self.random.choice(("refused", "unknown"))
         if self.lose_append:
             self.lose_append -= 1
             loop = asyncio.get_running_loop()
--- a/src/wasabivalve/key_leases/tests/test_controller.py
+++ b/src/wasabivalve/key_leases/tests/test_controller.py
@@ -52,6 +52,25 @@
     lease_world.play(scenario)
 
 
+def test_keys_are_renewed_until_the_named_controller_has_claimed():
+    """The registry may name another VM seconds before that one learns of it."""
+
+    async def scenario(world):
+        first, second = world.build("a"), world.build("b")
+        first.start()
+        second.start()
+        await world.lead(first, 3.0)
+        first.on_other_named()
+        for _ in range(10):
+            await asyncio.sleep(0.5)
+            assert world.uncovered() == 0
+        await world.lead(second, 3.0)
+        assert world.uncovered() == 0
+        assert not first.leads and second.leads
+
+    lease_world.play(scenario)
+
+
 def test_two_controllers_at_once_keep_one_holder():
     """A controller that the registry gave up may still send orders for a while."""
 
@@ -171,6 +190,28 @@
     lease_world.play(scenario)
 
 
+def test_keys_stay_held_when_the_store_goes_away_during_moves():
+    """Keys that were released for a move must not wait for the store to return."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        for step in range(40):
+            for key in range(100, 160):
+                world.loads.on_key(lease_world.SERVICE, key, 1000.0 * world.now_s())
+            world.store_up = step % 4 != 3
+            world.refuse_only = True
+            await world.lead(leader, 0.37)
+        await world.lead(leader, 2.0)
+        world.store_up = False
+        await world.lead(leader, 3.0)
+        assert world.uncovered() == 0
+
+    for seed in range(5):
+        lease_world.play(scenario, seed=seed)
+
+
 def test_quiet_instances_keep_their_keys():
     """Moves without need pause their keys and are paid for."""
 
@@ -232,7 +273,9 @@
             )
             await world.lead(leader, generator.uniform(0.5, 6.0))
             if generator.random() < 0.5:
-                leader.on_follower("the registry named another VM")
+                leader.on_other_named()
+            if generator.random() < 0.2:
+                leader.on_follower("the VM stops")
         world.store_up, world.loss, world.late = True, 0.0, 0.0
         for name, instance in world.instances.items():
             instance.reachable = True
--- a/src/wasabivalve/key_leases/tests/test_planning.py
+++ b/src/wasabivalve/key_leases/tests/test_planning.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from wasabivalve.key_leases import core, key_loads, planning, view
+from wasabivalve.key_leases import controller, core, key_loads, planning, view
 
 TARGETS = [planning.Target(f"i-{n}", 1, 40.0) for n in range(3)]
 
@@ -118,6 +118,46 @@
     assert known.find("s", 15, 500.0).instance == "i-0"
 
 
+def test_shares_add_up_to_what_the_holder_can_serve():
+    """VMs that each send little overload the holder of a hot key together."""
+    targets = [planning.Target("hot", 1, 20.0), planning.Target("idle", 1, 20.0)]
+    ranges = (core.KeyRange(0, 9, "hot", 1), core.KeyRange(10, 65_535, "idle", 1))
+    shares = planning.find_shares(ranges, targets, profile({5: 100.0, 50: 10.0}))
+    assert set(shares) == {"hot"}
+    views = [view.KeyView() for _ in range(20)]
+    for one in views:
+        one.on_shares(shares, 0.0)
+    admitted = sum(one.admits("hot", 1.0) for one in views for _ in range(5))
+    assert 15 <= admitted <= 25
+    assert views[0].admits("idle", 1.0)
+    assert all(views[0].admits("hot", 5_000.0) for _ in range(5))
+
+
+def test_view_reads_the_record_after_a_missed_message():
+    """A change that was missed must not be taken as known."""
+    known = view.KeyView()
+    known.on_map(
+        core.KeyMap(1, "vm", "w", 1, {"s": (core.KeyRange(0, 65_535, "i-0", 1),)})
+    )
+    known.on_settled(1, 3, "s", [core.KeyRange(10, 20, "i-1", 1)])
+    assert known.find("s", 15, 0.0).instance == "i-1"
+    assert known.key_map.number == 1
+    known.on_settled(1, 2, "s", [core.KeyRange(30, 40, "i-1", 1)])
+    assert known.key_map.number == 2
+
+
+def test_confirmation_without_a_record_hides_no_missed_change():
+    """A holder that answers again says nothing of what moved meanwhile."""
+    known = view.KeyView()
+    known.on_map(
+        core.KeyMap(1, "vm", "w", 1, {"s": (core.KeyRange(0, 65_535, "i-0", 1),)})
+    )
+    known.on_moving([view.MovingRange("s", 10, 20)], 500.0)
+    known.on_settled(1, controller.NO_WRITE, "s", [core.KeyRange(10, 20, "i-0", 1)])
+    assert known.key_map.number == 1
+    assert known.find("s", 15, 0.0).instance == "i-0"
+
+
 def test_loads_fade_and_count_reports():
     """Counts that stay would keep a range spread that is no longer hot."""
     loads = key_loads.KeyLoads()
--- a/src/wasabivalve/key_leases/view.py
+++ b/src/wasabivalve/key_leases/view.py
@@ -1,9 +1,13 @@
 """Know the holder of each key on a VM, also while ranges move."""
 
+import math
 from typing import NamedTuple
 
 from . import core
 
+SHARES_LAST_MS = 1_500.0
+"""Time after which the shares of overloaded instances are no longer believed."""
+
 
 class MovingRange(NamedTuple):
     """Name a range that has no holder for now."""
@@ -26,6 +30,24 @@
     def __init__(self) -> None:
         self.key_map = core.EMPTY
         self._until_by_range: dict[MovingRange, float] = {}
+        self._share_by_instance: dict[str, float] = {}
+        self._credit_by_instance: dict[str, float] = {}
+        self._shares_until = -math.inf
+
+    def on_shares(self, share_by_instance: dict[str, float], now: float) -> None:
+        """Take in which share of its requests each overloaded instance can serve."""
+        self._share_by_instance = share_by_instance
+        self._shares_until = now + SHARES_LAST_MS
+
+    def admits(self, instance: str | None, now: float) -> bool:
+        """Return whether one more request for an instance is in its share."""
+        share = self._share_by_instance.get(instance or "", 1.0)
+        if share >= 1.0 or now >= self._shares_until:
+            return True
+        credit = self._credit_by_instance.get(instance or "", 0.5) + share
+        admitted = credit >= 1.0
+        self._credit_by_instance[instance or ""] = credit - float(admitted)
+        return admitted
 
     def on_map(self, key_map: core.KeyMap) -> bool:
         """Take in a recorded map; return whether it is the newest."""
@@ -49,14 +71,17 @@
                 one.first <= moving.last and moving.first <= one.last for one in settled
             ):
                 del self._until_by_range[moving]
-        if (term, number) < (self.key_map.term, self.key_map.number):
+        known = self.key_map
+        if (term, number) < (known.term, known.number):
             return
+        if (term, number - 1) > (known.term, known.number) or term != known.term:
+            # A change before this one was missed; the recorded map tells both.
+            number = known.number
         ranges = self.key_map.ranges_by_service.get(service, ())
         for one in settled:
             ranges = core.merge([*core.cut(ranges, one.first, one.last), one])
         self.key_map = self.key_map._replace(
-            term=term,
-            number=number,
+            number=max(number, known.number),
             ranges_by_service={
                 **self.key_map.ranges_by_service,
                 service: ranges,
--- a/src/wasabivalve/keyed_log/core.py
+++ b/src/wasabivalve/keyed_log/core.py
@@ -54,9 +54,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unavailable:
-    """State that the store did not answer, and why."""
+    """State that the store did not answer, why, and whether the call was sent."""
 
     reason: str
+    sent: bool = True
 
 
 class Source(NamedTuple):
--- a/src/wasabivalve/placement/core.py
+++ b/src/wasabivalve/placement/core.py
@@ -9,14 +9,18 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
-SERVICE_TIME_WEIGHT = 0.15
-"""Weight of the newest sample in the moving average of the service time."""
+SLOWNESS_WEIGHT = 0.15
+"""Weight of the newest sample in the moving average of an instance's slowness."""
+
+FIRST_WEIGHT = 0.5
+LARGEST_RATIO = 20.0
+"""One request in a hundred takes several times as long; it must not count for more."""
 
 REPORT_HALF_TIME_MS = 300.0
 """Half-time of the load that an answer reported; a few service times."""
 
 INITIAL_SERVICE_TIME_MS = 100.0
-"""Service time assumed until one was observed for the service."""
+"""Service time assumed until one was observed for the route."""
 
 COLD_FACTOR = 2.0
 """An instance that has just started takes about twice as long."""
@@ -41,6 +45,9 @@
 OWN_ALLOWANCE = 2
 """Requests beyond the slots that one VM sends to an instance at once."""
 
+LONG_WORK_MS = 100.0
+"""Waiting behind one request of at least this length makes an urgent one late."""
+
 RECENT_ERROR_WEIGHT = 0.2
 ERROR_PENALTY = 4.0
 """An instance that fails every request looks this many times slower."""
@@ -83,7 +90,7 @@
         self.instance = instance
         self.in_flight = 0
         self.samples = 0
-        self.service_time_ms = 0.0
+        self.slowness = 1.0
         self.error_share = 0.0
         self.round_trip_ms = 0.0
         self.warm_at = now + instance.warmup_left_ms
@@ -102,17 +109,25 @@
         age = now - self._reported_at
         return self.in_flight + self._others * 0.5 ** (age / REPORT_HALF_TIME_MS)
 
-    def on_answer(self, duration_ms: float, load_at_start: float, now: float) -> None:
-        """Record an answer; the part of the time spent queued is taken off."""
+    def on_answer(
+        self, duration_ms: float, load_at_start: float, typical_ms: float, now: float
+    ) -> float:
+        """Record an answer and return its service time without the time queued.
+
+        ``typical_ms`` is the usual service time of such requests: an instance serves
+        several kinds, so that only the ratio tells how slow it is.
+        """
         slots = max(1, self.instance.slots)
         turns = max(1.0, (load_at_start + 1.0) / slots)
         sample = max(1.0, duration_ms - self.round_trip_ms) / turns
-        weight = SERVICE_TIME_WEIGHT if self.samples else 1.0
-        self.service_time_ms += weight * (sample - self.service_time_ms)
+        ratio = min(LARGEST_RATIO, sample / typical_ms)
+        weight = SLOWNESS_WEIGHT if self.samples else FIRST_WEIGHT
+        self.slowness += weight * (ratio - self.slowness)
         self.samples += 1
         self._failures_in_a_row = 0
         self.paused_until = -math.inf
         self.error_share *= 1.0 - RECENT_ERROR_WEIGHT
+        return sample
 
     def on_error_answer(self) -> None:
         """Record an answer that reports a failure of the instance."""
@@ -134,19 +149,25 @@
         self.paused_until = now + pause
 
 
-def estimate_ms(load: InstanceLoad, service_time_ms: float, now: float) -> float:
+def estimate_ms(load: InstanceLoad, typical_ms: float, now: float) -> float:
     """Return the estimated time until an answer if a request is sent now."""
     slots = max(1, load.instance.slots)
-    own = load.service_time_ms if load.samples else service_time_ms
+    own = typical_ms * load.slowness
     if now < load.warm_at and not load.samples:
         own *= COLD_FACTOR
     turns = max(1.0, (load.load(now) + 1.0) / slots)
     return load.round_trip_ms + own * turns * (1.0 + ERROR_PENALTY * load.error_share)
 
 
-def has_room(load: InstanceLoad, now: float) -> bool:
-    """Return whether the instance can be trusted to queue one more request."""
+def has_room(load: InstanceLoad, urgent: bool, typical_ms: float, now: float) -> bool:
+    """Return whether one more request may go to the instance.
+
+    Long work queues at an instance only if nothing more urgent goes there: it waits
+    here, where an urgent request still goes first.
+    """
     slots = load.instance.slots
+    if not urgent and typical_ms >= LONG_WORK_MS:
+        return load.load(now) < slots
     if load.in_flight >= slots + OWN_ALLOWANCE:
         return False
     return load.load(now) < slots + QUEUE_ALLOWANCE
@@ -173,10 +194,11 @@
 def choose(
     loads: Iterable[InstanceLoad],
     places: Places,
-    service_time_ms: float,
+    typical_ms: float,
     target_latency_ms: float,
     kilobytes: float,
     excluded: Collection[str],
+    urgent: bool,
     generator: random.Random,
     now: float,
 ) -> Choice | None:
@@ -191,9 +213,9 @@
         instance = load.instance
         if instance.draining or instance.id in excluded:
             continue
-        if now < load.paused_until or not has_room(load, now):
+        if now < load.paused_until or not has_room(load, urgent, typical_ms, now):
             continue
-        estimate = estimate_ms(load, service_time_ms, now)
+        estimate = estimate_ms(load, typical_ms, now)
         distance = places.distance(instance.data_centre)
         # An instance that joined gets a first request from every VM, wherever it is.
         crossing = crossing_cost_ms(distance, target_latency_ms, kilobytes)
--- a/src/wasabivalve/placement/tests/test_choice.py
+++ b/src/wasabivalve/placement/tests/test_choice.py
@@ -15,13 +15,21 @@
 
 def load(name, data_centre="a1", **changes):
     known = core.InstanceLoad(instance(name, data_centre, **changes), 0.0)
-    known.on_answer(80.0, 0.0, 0.0)
+    known.on_answer(80.0, 0.0, 80.0, 0.0)
     return known
 
 
-def choose(loads, kilobytes=4.0, excluded=(), now=0.0):
+def choose(loads, kilobytes=4.0, excluded=(), now=0.0, urgent=True, typical_ms=80.0):
     choice = core.choose(
-        loads, PLACES, 80.0, 300.0, kilobytes, excluded, random.Random(1), now
+        loads,
+        PLACES,
+        typical_ms,
+        300.0,
+        kilobytes,
+        excluded,
+        urgent,
+        random.Random(1),
+        now,
     )
     return None if choice is None else choice.load.instance.id
 
@@ -61,6 +69,24 @@
     assert choose([full], now=3_000.0) == "own"
 
 
+def test_less_urgent_work_does_not_queue_at_an_instance():
+    """Reports of 240 ms in an instance's queue made invoices of 42 ms late."""
+    busy = load("own")
+    busy.in_flight = 2
+    assert choose([busy], urgent=False, typical_ms=240.0) is None
+    assert choose([busy], urgent=False) == "own"
+    assert choose([busy]) == "own"
+
+
+def test_slowness_is_told_apart_from_the_kind_of_request():
+    """An instance that serves long requests must not count as slow for short ones."""
+    long_work, slow = load("long"), load("slow")
+    for _ in range(30):
+        long_work.on_answer(240.0, 0.0, 240.0, 0.0)
+        slow.on_answer(84.0, 0.0, 42.0, 0.0)
+    assert long_work.slowness < 1.1 < 1.8 < slow.slowness
+
+
 def test_failing_instance_is_left_out_for_a_growing_time():
     """An instance that goes down and up by turns must not get every request."""
     known = load("own")
@@ -84,7 +110,7 @@
     """An instance that turns slow makes its share of requests late."""
     slow, quick = load("slow"), load("quick")
     for _ in range(20):
-        slow.on_answer(600.0, 0.0, 0.0)
+        slow.on_answer(600.0, 0.0, 80.0, 0.0)
     assert choose([slow, quick]) == "quick"
 
 
@@ -113,7 +139,7 @@
     for step in range(400):
         own = generator.choice(views)
         choice = core.choose(
-            own.values(), PLACES, 80.0, 300.0, 4.0, (), generator, 10.0 * step
+            own.values(), PLACES, 80.0, 300.0, 4.0, (), True, generator, 10.0 * step
         )
         name = choice.load.instance.id
         total[name] += 1
@@ -122,5 +148,5 @@
             for one in views:
                 for known in one.values():
                     known.in_flight = 0
-                    known.on_answer(80.0, 0.0, 10.0 * step)
+                    known.on_answer(80.0, 0.0, 80.0, 10.0 * step)
     assert max(total.values()) <= 1.6 * min(total.values())
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -42,13 +42,20 @@
 """Desired states must be in force within 2.5 s, also if a connection went silent."""
 
 LEDGER_WAIT_S = 2.0
-VMS_INTERVAL_S = 6.0
-"""The number of VMs only divides budgets, with a reserve."""
+VMS_INTERVAL_S = 1.5
+"""The controller relays to the VMs that it knows; until then each reads by itself."""
+
+SETTLING_S = 0.8
+"""Time for which the controller's own message about moved keys is awaited."""
 
 JOIN_INTERVAL_S = 0.6
 GROUP_TTL_S = 1.6
 """Time without a call after which another VM becomes the controller."""
 
+IDLE_JOIN_INTERVAL_S = 1.2
+IDLE_TTL_S = 3.5
+"""The same for VMs without a partition, of which large deployments have many."""
+
 CALL_REPORT_S = 10.0
 TICK_S = 0.3
 SECOND_MS = 1000.0
@@ -103,6 +110,8 @@
         self._state: desired_state.DesiredState | None = None
         self._view = view.KeyView()
         self._address_by_vm: dict[str, vm_link.Address] = {loaded.vm: loaded.link}
+        self._settling_until = 0.0
+        self._shares_sent = False
         self._controller_address: vm_link.Address | None = None
         self._link = vm_link.Link(self._on_message)
         self._follower_by_topic: dict[str, keyed_log.TopicFollower] = {}
@@ -112,6 +121,7 @@
         self._ledger_listed = False
         self._stopping = False
         self._generation = 0
+        self._parts: frozenset[int] = frozenset()
         self._loads = key_loads.KeyLoads()
         self._directory = directory.InstanceDirectory(self._on_instance)
         places = placement.Places(loaded.data_centre, loaded.region_by_data_centre)
@@ -124,6 +134,7 @@
             gateway.Surroundings(
                 self._instances,
                 self._owner,
+                lambda instance: self._view.admits(instance, self._now_ms()),
                 lambda: len(self._address_by_vm),
                 lambda service, key: self._loads.on_key(service, key, self._now_ms()),
             ),
@@ -147,6 +158,7 @@
                 self._take_map,
                 self._on_moving,
                 self._on_settled,
+                self._on_shares,
             ),
         )
         self._status: asyncio.Server | None = None
@@ -294,10 +306,12 @@
             for name, follower in self._follower_by_topic.items()
             if follower.next is not None
         }
-        message = vm_link.Relay(self._settings.vm, ends, topic, first, relayed)
+        newest = (self._view.key_map.term, self._view.key_map.number)
+        vm = self._settings.vm
+        message = vm_link.Relay(vm, ends, topic, first, relayed, *newest)
         if not self._send_to_all(message):
             # Too many changes for a packet; receivers read them themselves.
-            self._send_to_all(vm_link.Relay(self._settings.vm, ends, topic, end, []))
+            self._send_to_all(vm_link.Relay(vm, ends, topic, end, [], *newest))
 
     def _send_to_all(self, message: vm_link.Message) -> bool:
         """Send a message to all other VMs; return False if it is too large."""
@@ -316,6 +330,7 @@
         if self._controller.leads:
             return
         if isinstance(message, vm_link.Moving):
+            self._settling_until = self._loop.time() + SETTLING_S
             moving = [view.MovingRange(*one) for one in message.ranges]
             self._view.on_moving(moving, self._now_ms() + message.pause_ms)
             return
@@ -326,6 +341,9 @@
             )
             self._gateway.on_owners_changed()
             return
+        if isinstance(message, vm_link.Shares):
+            self._view.on_shares(message.share_by_instance, self._now_ms())
+            return
         self._controller_address = sender
         for topic, end in message.end_by_topic.items():
             follower = self._follower_by_topic.get(topic)
@@ -337,9 +355,21 @@
                     for one in message.records
                 ]
                 follower.on_relay(message.first, end, records)
+            elif topic == LEDGER_TOPIC:
+                self._on_ledger_relay(follower, end, message)
             elif topic != SERVERS_TOPIC:
                 follower.on_relay(end, end, [])
 
+    def _on_ledger_relay(
+        self, follower: keyed_log.TopicFollower, end: int, message: vm_link.Relay
+    ) -> None:
+        """Read the ledger only if the controller's messages did not tell all of it."""
+        known = (self._view.key_map.term, self._view.key_map.number)
+        if known == (message.key_term, message.key_number):
+            follower.on_relay(0, end, [])
+        elif self._loop.time() >= self._settling_until:
+            follower.on_relay(end, end, [])
+
     def _report_keys(self) -> None:
         counts = self._loads.take_unreported()
         if self._controller.leads or self._controller_address is None or not counts:
@@ -469,6 +499,12 @@
             vm_link.Settled(self._settings.vm, term, number, service, rows)
         )
 
+    def _on_shares(self, share_by_instance: dict[str, float]) -> None:
+        self._view.on_shares(share_by_instance, self._now_ms())
+        if share_by_instance or self._shares_sent:
+            self._send_to_all(vm_link.Shares(self._settings.vm, share_by_instance))
+        self._shares_sent = bool(share_by_instance)
+
     def _owner(self, service: str, key: int) -> view.Holder:
         return self._view.find(service, key, self._now_ms())
 
@@ -522,22 +558,25 @@
         where = f"{link.host}:{link.port}".encode()
         while await self._store.append(VMS_TOPIC, vm, where) != "done":
             await asyncio.sleep(JOIN_INTERVAL_S)
-        ttl_s = max(GROUP_TTL_S, self._settings.group_ttl_ms / SECOND_MS)
+        least_ttl_s = self._settings.group_ttl_ms / SECOND_MS
         while not self._stopping:
+            idle = self._generation > 0 and not self._parts
             if self.is_ready():
-                await self._join(vm, ttl_s)
-            await asyncio.sleep(JOIN_INTERVAL_S)
+                await self._join(
+                    vm, max(least_ttl_s, IDLE_TTL_S if idle else GROUP_TTL_S)
+                )
+            await asyncio.sleep(IDLE_JOIN_INTERVAL_S if idle else JOIN_INTERVAL_S)
 
     async def _join(self, vm: str, ttl_s: float) -> None:
         sent_at = _boot_ms()
         joined = await self._store.join(GROUP, vm, GROUP_TOPIC, ttl_s, self._generation)
         if isinstance(joined, keyed_log.Unavailable) or self._stopping:
             return
-        self._generation = joined.generation
+        self._generation, self._parts = joined.generation, joined.parts
         if LEADER_PART in joined.parts:
             self._controller.on_leader(sent_at)
         else:
-            self._controller.on_follower("the registry named another VM")
+            self._controller.on_other_named()
 
     async def _tick(self) -> None:
         reported_at = self._loop.time()
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -30,7 +30,13 @@
 OFFSETS = struct.Struct(">QQ")
 READ_KB = 1024
 
-AppendResult = Literal["done", "moved", "unknown"]
+AppendResult = Literal["done", "moved", "refused", "unknown"]
+"""A refused append was certainly not done."""
+
+APPEND_TIMEOUT_S = 0.6
+"""Time for an append; a store that is slowed 60 times answers within 0.3 s."""
+
+REFUSING_STATUSES = frozenset({409, 413, 429, 503, 507})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,12 +114,16 @@
         query: dict[str, Any] = {"topic": topic, "part": 0}
         if at is not None:
             query["at"] = at
-        answer = await self._call("POST", "log-append", query, body)
+        answer = await self._call(
+            "POST", "log-append", query, body, timeout_s=APPEND_TIMEOUT_S
+        )
         if not isinstance(answer, messages.Answer):
-            return "unknown"
+            return "unknown" if answer.sent else "refused"
         if answer.status == 200:
             return "done"
-        return "moved" if answer.status == 412 else "unknown"
+        if answer.status == 412:
+            return "moved"
+        return "refused" if answer.status in REFUSING_STATUSES else "unknown"
 
     async def join(
         self, group: str, member: str, topic: str, ttl_s: float, generation: int
@@ -153,7 +163,9 @@
         body: bytes = b"",
         json: bool = False,
         wait_s: float = 0.0,
+        timeout_s: float | None = None,
     ) -> messages.Answer | keyed_log.Unavailable:
+        limit_s = (CALL_TIMEOUT_S if timeout_s is None else timeout_s) + wait_s
         self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
         target = f"/api/{name}"
         if query:
@@ -167,10 +179,10 @@
         )
         connection = await self._connect()
         if isinstance(connection, upstream_connection.NotSent):
-            return keyed_log.Unavailable(connection.reason)
+            return keyed_log.Unavailable(connection.reason, sent=False)
         kept = False
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
+            async with asyncio.timeout(limit_s):
                 outcome = await connection.exchange(data)
             if isinstance(outcome, upstream_connection.Broken):
                 return keyed_log.Unavailable(outcome.reason)
--- a/src/wasabivalve/platform/tests/test_store.py
+++ b/src/wasabivalve/platform/tests/test_store.py
@@ -86,7 +86,7 @@
 
 def test_append_without_an_answer_is_unknown(monkeypatch):
     """An append taken as failed may still be done seconds later."""
-    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(store, "APPEND_TIMEOUT_S", 0.05)
 
     async def scenario(stand_in, client):
         stand_in.losing = 1
@@ -96,6 +96,19 @@
     run(scenario)
 
 
+def test_refused_append_was_certainly_not_done():
+    """A move whose record is certainly not written may be taken back."""
+
+    async def scenario(stand_in, client):
+        stand_in.refusing = True
+        assert await client.append("keyed.keys", "map", b"1", at=0) == "refused"
+        stand_in.close()
+        client.close()
+        assert await client.append("keyed.keys", "map", b"1", at=0) == "refused"
+
+    run(scenario)
+
+
 def test_refusal_and_silence_are_unavailable(monkeypatch):
     """An outage taken as an empty topic would remove every instance."""
     monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.05)
--- a/src/wasabivalve/vm_link/__init__.py
+++ b/src/wasabivalve/vm_link/__init__.py
@@ -9,6 +9,7 @@
     Relay,
     RelayedRecord,
     Settled,
+    Shares,
     decode,
     encode,
 )
@@ -22,6 +23,7 @@
     "Relay",
     "RelayedRecord",
     "Settled",
+    "Shares",
     "decode",
     "encode",
 ]
--- a/src/wasabivalve/vm_link/core.py
+++ b/src/wasabivalve/vm_link/core.py
@@ -29,7 +29,8 @@
 class Relay(msgspec.Struct, array_like=True, frozen=True, tag="relay"):
     """State how far the controller has read each topic.
 
-    ``records`` are those of one topic from ``first`` to its end that change anything.
+    ``records`` are those of one topic from ``first`` to its end that change anything;
+    ``key_term`` and ``key_number`` name the newest map of keys.
     """
 
     vm: str
@@ -37,6 +38,8 @@
     topic: str
     first: int
     records: list[RelayedRecord]
+    key_term: int
+    key_number: int
 
 
 class KeyReport(msgspec.Struct, array_like=True, frozen=True, tag="keys"):
@@ -64,7 +67,14 @@
     ranges: list[tuple[int, int, str, int]]
 
 
-Message = Relay | KeyReport | Moving | Settled
+class Shares(msgspec.Struct, array_like=True, frozen=True, tag="shares"):
+    """Name the share of its requests that each overloaded instance can serve."""
+
+    vm: str
+    share_by_instance: dict[str, float]
+
+
+Message = Relay | KeyReport | Moving | Settled | Shares
 OnMessage = Callable[[Message, Address], None]
 
 _DECODER = msgspec.msgpack.Decoder(Message)
