Serve metrics and explain a request from log files

Cause: on-call engineers have only logs and metrics; a refusal did not tell its inputs. Change: metrics page on the port of the deploy file, request lines with service, key and reason, command wasabivalve explain.

--- a/src/wasabivalve/cli/core.py
+++ b/src/wasabivalve/cli/core.py
@@ -9,6 +9,7 @@
 from . import (
     completion_command,
     configuration_commands,
+    explain_command,
     observation_commands,
     report_commands,
     retention_command,
@@ -33,5 +34,6 @@
     _module.add_to(main)
 
 
+main.add_command(explain_command.explain_request, name="explain")
 main.add_command(entry_command.entry)
 main.add_command(stand_in_command.stand_in)
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -9,6 +9,7 @@
 from wasabivalve import events, retries
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.key_leases import view as key_view
+from wasabivalve.metrics import served
 from wasabivalve.placement import core as placement
 
 from . import caller_connection, messages, pool, upstream_connection, waiting
@@ -29,7 +30,7 @@
 MOST_REFUSED_SENDS = 6
 """Sends of one request that instances may refuse; its attempts count runs only."""
 
-LONGEST_MOVE_S = 0.4
+LONGEST_MOVE_S = 0.5
 """Part of the announced time of a move that is usually not needed."""
 
 MOVED_WAIT_S = 0.12
@@ -125,7 +126,7 @@
     ) -> None:
         self.stopping = False
         self.ends_by = math.inf
-        self.requests = 0
+        self.metrics = served.ServedMetrics()
         self.pool = pool.Pool()
         self._dialect = dialect
         self._places = places
@@ -223,7 +224,6 @@
 
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Return the answer to a request; cancelled when its caller leaves."""
-        self.requests += 1
         identity = request.header(self._dialect.request_id)
         request_id = identity.decode("latin-1") if identity else "-"
         if self._table is None:
@@ -245,19 +245,37 @@
             answer = await self._forward(work)
         except asyncio.CancelledError:
             events.emit(412, request=request_id, attempts=work.attempts)
+            self.metrics.count("request.caller_left")
             raise
+        self._report(work, answer, version)
+        return answer
+
+    def _report(self, work: _Work, answer: messages.Answer, version: int) -> None:
+        """Log and count the outcome of a request."""
         assert self._loop is not None
+        duration_ms = 1000.0 * (self._loop.time() - work.request.received_at)
+        own = answer.header(self._dialect.proof) is None
+        refused = own and answer.status == 503
+        fields = {} if work.key is None else {"key": work.key}
         events.emit(
             420 if answer.status < 500 else 413,
-            request=request_id,
-            route=route.name,
+            request=work.request_id,
+            route=work.route.name,
+            service=work.service.name,
             version=version,
+            **fields,
             status=answer.status,
-            own=answer.header(self._dialect.proof) is None,
-            ms=round(1000.0 * (self._loop.time() - request.received_at)),
+            own=own,
+            ms=round(duration_ms),
             trail=";".join(work.trail),
         )
-        return answer
+        outcome = "request.unknown" if own else "request.done"
+        if refused:
+            outcome = "request.not_run"
+        self.metrics.count(outcome, str(answer.status))
+        self.metrics.timing("request.duration", duration_ms, work.service.name)
+        if len(work.trail) > 1:
+            self.metrics.count("request.retry", work.trail[-1][:20])
 
     def _start_work(
         self,
@@ -335,7 +353,7 @@
             start_by = self._start_by(work)
             expected = line.expected_wait_s(work.route.rank, start_by, now)
             if expected + HOPELESS_SHARE * service_time_s > work.end_at - now:
-                work.trail.append("hopeless")
+                work.trail.append(f"hopeless expected={expected:.2f}s")
                 return None
             waiter = line.join(work.route.rank, start_by, now)
             try:
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -34,6 +34,7 @@
 """The VM that holds this partition of the group's topic is the controller."""
 
 READINESS_PATH = "/api/readiness"
+METRICS_PATH = "/metrics"
 
 SERVERS_INTERVAL_S = 0.6
 """Instances must get no request 2.5 s after they left; each call is priced."""
@@ -72,24 +73,23 @@
     return SECOND_MS * time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class _StatusFront:
-    """Serve the readiness check."""
+class _PageFront:
+    """Serve one page to the platform."""
 
-    def __init__(self, vm: "EntryVM") -> None:
+    def __init__(self, path: str, page: Callable[[], messages.Answer]) -> None:
         self.stopping = False
-        self._vm = vm
+        self._path = path
+        self._page = page
 
     def limits(self) -> desired_state.CallerLimits:
-        """Return limits for a checker."""
+        """Return limits for the platform's own calls."""
         return caller_connection.DEFAULT_LIMITS
 
     async def handle(self, request: messages.Request) -> messages.Answer:
-        """Return 200 while this VM takes requests."""
-        if request.path != READINESS_PATH:
+        """Return the page."""
+        if request.path != self._path:
             return messages.own_answer(404, "there is nothing here")
-        if self._vm.is_ready():
-            return messages.own_answer(200, "ready")
-        return messages.own_answer(503, "not ready")
+        return self._page()
 
     def on_open(self, connection: caller_connection.CallerConnection) -> None:
         """Do nothing; these connections need no drain."""
@@ -161,7 +161,7 @@
                 self._on_shares,
             ),
         )
-        self._status: asyncio.Server | None = None
+        self._pages: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -170,15 +170,12 @@
 
     async def start(self) -> None:
         """Listen and follow the store."""
-        callers, readiness = self._settings.callers, self._settings.readiness
+        callers = self._settings.callers
         await self._gateway.start(callers.host, callers.port)
-        front = _StatusFront(self)
-        self._status = await self._loop.create_server(
-            lambda: caller_connection.CallerConnection(front),
-            readiness.host,
-            readiness.port,
-            reuse_address=True,
+        await self._serve_page(
+            self._settings.readiness, READINESS_PATH, self._readiness_page
         )
+        await self._serve_page(self._settings.metrics, METRICS_PATH, self._metrics_page)
         await self._link.start(*self._settings.link)
         self._controller.start()
         followers = (
@@ -213,6 +210,35 @@
         self._tasks.append(self._loop.create_task(self._tick()))
         events.emit(1, vm=self._settings.vm, data_centre=self._settings.data_centre)
 
+    async def _serve_page(
+        self,
+        address: settings.Address,
+        path: str,
+        page: Callable[[], messages.Answer],
+    ) -> None:
+        front = _PageFront(path, page)
+        server = await self._loop.create_server(
+            lambda: caller_connection.CallerConnection(front),
+            address.host,
+            address.port,
+            reuse_address=True,
+        )
+        self._pages.append(server)
+
+    def _readiness_page(self) -> messages.Answer:
+        if self.is_ready():
+            return messages.own_answer(200, "ready")
+        return messages.own_answer(503, "not ready")
+
+    def _metrics_page(self) -> messages.Answer:
+        metrics = self._gateway.metrics
+        metrics.gauge("request.in_work", self._gateway.busy)
+        metrics.gauge("upstream.handshake", self._gateway.pool.handshakes)
+        metrics.gauge("store.call", self._store.calls)
+        metrics.gauge("instance.listed", len(self._directory.instance_by_id))
+        headers_ = [(b"content-type", b"text/plain; charset=utf-8")]
+        return messages.Answer(200, b"OK", headers_, metrics.render().encode())
+
     async def close(self) -> None:
         """Leave the rotation, finish the requests in work and stop."""
         started = self._loop.time()
@@ -238,8 +264,8 @@
         self._link.close()
         self._orders.close()
         self._store.close()
-        if self._status is not None:
-            self._status.close()
+        for page in self._pages:
+            page.close()
         events.emit(3, vm=self._settings.vm, in_work=self._gateway.busy)
 
     def reload(self, path: pathlib.Path) -> None:
--- a/src/wasabivalve/platform/settings.py
+++ b/src/wasabivalve/platform/settings.py
@@ -1,5 +1,6 @@
 """Read the settings file of a process."""
 
+import os
 import pathlib
 import tomllib
 from collections.abc import Mapping
@@ -9,6 +10,11 @@
 
 VARIABLE = "WASABIVALVE_CONFIG"
 
+METRICS_PORT_VARIABLE = "WASABIVALVE_METRICS_PORT"
+"""Set by the deploy file, which names the same port to the platform."""
+
+DEFAULT_METRICS_PORT = 9464
+
 
 class Address(NamedTuple):
     """Hold an IP address and a port."""
@@ -27,6 +33,7 @@
     readiness: Address
     store: Address
     link: Address
+    metrics: Address
     grace_ms: float
     repeat_share: float
     repeat_window_ms: float
@@ -84,6 +91,14 @@
             return 0
         return int(ports[0])
 
+    def metrics_port(self) -> int:
+        """Return the port for metrics from the environment."""
+        text = os.environ.get(METRICS_PORT_VARIABLE, str(DEFAULT_METRICS_PORT))
+        if not text.isdigit():
+            self.find(METRICS_PORT_VARIABLE, f"is {text!r}, not a port")
+            return DEFAULT_METRICS_PORT
+        return int(text)
+
     def bounds(self) -> dict[str, float]:
         """Return the figures of the list of ``name=value`` texts."""
         figures = {}
@@ -120,6 +135,7 @@
         readiness=reader.address("listen.ready_address"),
         store=reader.address("platform.address"),
         link=Address(reader.value("ip", str) or "", reader.first_port()),
+        metrics=Address(reader.value("ip", str) or "", reader.metrics_port()),
         grace_ms=1000.0 * bound("grace_s"),
         repeat_share=bound("retry_budget_ratio"),
         repeat_window_ms=1000.0 * bound("budget_window_s"),
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -53,6 +53,7 @@
     def __init__(self, address: settings.Address) -> None:
         self._address = address
         self._idle: list[upstream_connection.UpstreamConnection] = []
+        self.calls = 0
         self.calls_by_name: dict[str, int] = {}
 
     def close(self) -> None:
@@ -166,6 +167,7 @@
         timeout_s: float | None = None,
     ) -> messages.Answer | keyed_log.Unavailable:
         limit_s = (CALL_TIMEOUT_S if timeout_s is None else timeout_s) + wait_s
+        self.calls += 1
         self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
         target = f"/api/{name}"
         if query:
