--- a/src/wasabivalve/cli/explain_command.py
+++ b/src/wasabivalve/cli/explain_command.py
@@ -41,6 +41,7 @@
     "over-share": "refused at once: the holder of its key gets more than it can serve",
     "no-budget": "not sent again: the budget of repeats of the service was used up",
     "not-run-421": "the instance did not hold the key, or was another one; not run",
+    "other-instance": "another instance answers at that address",
     "not-run-503": "the instance was full and said that it did not run it",
     "not-run-429": "the instance refused it and said that it did not run it",
     "garbled": "the answer was not the instance's whole answer and was dropped",
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -599,6 +599,10 @@
             )
         if outcome.header(self._dialect.not_run) is not None or outcome.status == 421:
             work.trail.append(f"not-run-{outcome.status}")
+            answering = outcome.header(self._dialect.answering_instance)
+            if outcome.status == 421 and answering not in (None, instance.id.encode()):
+                work.trail.append("other-instance")
+                load.on_other_instance(now_ms)
             work.attempts -= 1
             return self._on_refusal(work, instance)
         if self._is_garbled(outcome):
--- a/src/wasabivalve/gateway/messages.py
+++ b/src/wasabivalve/gateway/messages.py
@@ -49,12 +49,13 @@
     """Name the headers of a deployment, in lower case, and decode their values.
 
     ``proof`` marks answers that an instance made, ``not_run`` those that state that
-    the request has not run, ``key`` holds a request's key for divided services.
+    the request has not run, ``answering_instance`` who made it; ``key`` holds a request's key for divided services.
     """
 
     request_id: bytes
     time_left: bytes
     expected_instance: bytes
+    answering_instance: bytes
     proof: bytes
     not_run: bytes
     key: bytes
--- a/src/wasabivalve/gateway/tests/test_forwarding.py
+++ b/src/wasabivalve/gateway/tests/test_forwarding.py
@@ -15,6 +15,7 @@
     request_id=b"request-id",
     time_left=b"time-left",
     expected_instance=b"expected",
+    answering_instance=b"answering",
     proof=b"proof",
     not_run=b"not-run",
     key=b"key",
@@ -516,6 +517,20 @@
     play(scenario, [moved], [OK], divided=True, most_attempts=1)
 
 
+def test_address_of_another_instance_is_not_asked_again():
+    """A VM with an old registry spent the budget of repeats on a reused address."""
+    other = NOT_RUN.replace(b"503 Busy", b"421 Other").replace(
+        b"not-run: 1", b"answering: i-9"
+    )
+
+    async def scenario(scene):
+        status, _, _ = await scene.ask(headers="key: 7\r\n")
+        assert status == 503
+        assert len(scene.upstreams[0].requests) == 1
+
+    play(scenario, [other] * 9, divided=True)
+
+
 def test_stopping_gateway_closes_after_each_answer():
     """A caller that keeps its connection to a stopping VM loses its next request."""
 
--- a/src/wasabivalve/placement/core.py
+++ b/src/wasabivalve/placement/core.py
@@ -32,6 +32,9 @@
 REGION_CROSSING_FACTOR = 1.25
 """Bytes between regions cost a quarter more than between data centres."""
 
+OTHER_INSTANCE_PAUSE_MS = 3_000.0
+"""By then the registry, or what a VM hears of it, shows that the instance is gone."""
+
 TIE_SHARE = 0.3
 """Costs within this share count as the same; estimates are no better than that."""
 
@@ -133,6 +136,10 @@
         """Record an answer that reports a failure of the instance."""
         self.error_share += RECENT_ERROR_WEIGHT * (1.0 - self.error_share)
 
+    def on_other_instance(self, now: float) -> None:
+        """Record that another instance answers at the address of this one."""
+        self.paused_until = now + OTHER_INSTANCE_PAUSE_MS
+
     def on_failure(self, now: float, connected: bool) -> None:
         """Record a refused connection, or one that broke or went silent.
 
--- a/src/wasabivalve/platform/headers.py
+++ b/src/wasabivalve/platform/headers.py
@@ -35,6 +35,7 @@
     request_id=b"request-id",
     time_left=b"deadline-ms",
     expected_instance=b"expected-instance",
+    answering_instance=b"instance-id",
     proof=b"response-signature",
     not_run=b"not-executed",
     key=b"shard-key",
