--- a/src/wasabivalve/gateway/messages.py
+++ b/src/wasabivalve/gateway/messages.py
@@ -49,7 +49,8 @@
     """Name the headers of a deployment, in lower case, and decode their values.
 
     ``proof`` marks answers that an instance made, ``not_run`` those that state that
-    the request has not run, ``answering_instance`` who made it; ``key`` holds a request's key for divided services.
+    the request has not run, ``answering_instance`` who made it; ``key`` holds a
+    request's key for divided services.
     """
 
     request_id: bytes
