--- /dev/null
+++ b/src/wasabivalve/gateway/sending.py
@@ -0,0 +1,145 @@
+"""Send a request to an instance and take its answer."""
+
+import asyncio
+from typing import NamedTuple
+
+from wasabivalve.placement import core as placement
+
+from . import messages, pool, rooms, upstream_connection
+from . import work as works
+
+SILENCE_FACTOR = 4.0
+"""Multiple of the estimate after which an attempt counts as unanswered."""
+
+
+class Attempt(NamedTuple):
+    """Hold the outcome of one send; ``timed_out`` if all the time was used."""
+
+    outcome: upstream_connection.Outcome | upstream_connection.NotSent
+    timed_out: bool = False
+
+
+class Sender:
+    """Send requests over kept connections."""
+
+    def __init__(
+        self, dialect: messages.Dialect, room: rooms.Rooms, connections: pool.Pool
+    ) -> None:
+        self._dialect = dialect
+        self._rooms = room
+        self._pool = connections
+
+    async def send(
+        self,
+        work: works.Work,
+        load: placement.InstanceLoad,
+        estimate_ms: float,
+        live_vms: int,
+    ) -> Attempt:
+        """Send a request; when cancelled, the instance's work is ended."""
+        loop = asyncio.get_running_loop()
+        instance = load.instance
+        started = loop.time()
+        work.trail.append(instance.id)
+        load_at_start = load.load(1000.0 * started)
+        load.in_flight += 1
+        connection: (
+            upstream_connection.UpstreamConnection | upstream_connection.NotSent | None
+        ) = None
+        ended = False
+        try:
+            most = max(
+                2,
+                int(
+                    pool.CONNECTION_SHARE
+                    * work.service.most_connections
+                    / max(1, live_vms)
+                ),
+            )
+            connection = await self._pool.take(
+                instance, work.route.idempotent, most, work.end_at - started
+            )
+            if isinstance(connection, upstream_connection.NotSent):
+                ended = True
+                return Attempt(connection)
+            now = loop.time()
+            if connection.opened_at >= started:
+                load.round_trip_ms = 1000.0 * (now - started)
+            if work.end_at - now < works.LEAST_ATTEMPT_S:
+                ended = True
+                self._pool.give_back(instance, connection)
+                return Attempt(upstream_connection.NotSent("no time left"))
+            work.attempts += 1
+            identity = work.request.header(self._dialect.request_id)
+            exchange = connection.exchange(
+                self._encode(work, instance, now),
+                (self._dialect.request_id, identity) if identity else None,
+                work.request.method == b"HEAD",
+            )
+            ends_at = self._attempt_ends_at(work, estimate_ms, now)
+            try:
+                async with asyncio.timeout_at(ends_at):
+                    outcome = await exchange
+            except TimeoutError:
+                late = ends_at >= work.end_at - works.LEAST_ATTEMPT_S
+                return Attempt(upstream_connection.Broken("no answer in time"), late)
+            if isinstance(outcome, messages.Answer):
+                ended = True
+                self._pool.give_back(instance, connection)
+                self._rooms.record_answer(work, load, outcome, started, load_at_start)
+            return Attempt(outcome)
+        finally:
+            load.in_flight -= 1
+            if not ended and isinstance(
+                connection, upstream_connection.UpstreamConnection
+            ):
+                self._pool.discard(instance, connection)
+            self._rooms.on_attempt_end(work)
+
+    def _attempt_ends_at(
+        self, work: works.Work, estimate_ms: float, now: float
+    ) -> float:
+        """Return until when an attempt may stay without an answer.
+
+        A full instance may never answer; work that may run twice is then sent again.
+        """
+        if not work.route.idempotent or work.attempts >= work.route.most_attempts:
+            return work.end_at
+        if work.key is not None:
+            # The same instance would get it again, at the end of its queue.
+            return work.end_at
+        left_ms = 1000.0 * (work.end_at - now)
+        patience_ms = max(work.route.target_latency_ms, SILENCE_FACTOR * estimate_ms)
+        # A target that is near the timeout must still leave time for another attempt.
+        latest_ms = max(2.0 * estimate_ms, 0.5 * left_ms)
+        return now + min(left_ms, patience_ms, latest_ms) / 1000.0
+
+    def _encode(
+        self, work: works.Work, instance: placement.Instance, now: float
+    ) -> bytes:
+        dialect = self._dialect
+        own = (dialect.time_left, dialect.expected_instance)
+        named = {
+            token.strip().lower()
+            for name, value in work.request.headers
+            if name == b"connection"
+            for token in value.split(b",")
+        }
+        headers = [
+            (name, value)
+            for name, value in work.request.headers
+            if name not in messages.CONNECTION_HEADERS
+            and name not in own
+            and name not in named
+        ]
+        left = work.end_at - now
+        headers.append((dialect.time_left, dialect.encode_time_left(left)))
+        headers.append((dialect.expected_instance, instance.id.encode()))
+        chunked = any(name == b"transfer-encoding" for name, _ in work.request.headers)
+        return messages.encode_request(
+            work.request.method,
+            work.request.target,
+            headers,
+            work.request.body,
+            chunked,
+        )
--- a/src/wasabivalve/gateway/tests/test_forwarding.py
+++ b/src/wasabivalve/gateway/tests/test_forwarding.py
@@ -6,7 +6,7 @@
 import pytest
 
 from wasabivalve.desired_state import core as desired_state
-from wasabivalve.gateway import caller_connection, core, messages, waiting
+from wasabivalve.gateway import caller_connection, core, messages, rooms, waiting
 from wasabivalve.key_leases import view
 from wasabivalve.placement import core as placement
 
@@ -126,7 +126,7 @@
             DIALECT,
             placement.Places("east", {"east": "coast"}),
             core.Bounds(0.2, 10_000.0, 100.0),
-            core.Surroundings(
+            rooms.Surroundings(
                 lambda service: [
                     one.instance(f"i-{index}")
                     for index, one in enumerate(self.upstreams)
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -10,7 +10,7 @@
 
 from wasabivalve import events
 from wasabivalve.desired_state import core as desired_state
-from wasabivalve.gateway import caller_connection, messages
+from wasabivalve.gateway import caller_connection, messages, rooms
 from wasabivalve.gateway import core as gateway
 from wasabivalve.key_leases import controller, key_loads, view
 from wasabivalve.key_leases import core as key_leases
@@ -131,7 +131,7 @@
             gateway.Bounds(
                 loaded.repeat_share, loaded.repeat_window_ms, loaded.repeat_allowance
             ),
-            gateway.Surroundings(
+            rooms.Surroundings(
                 self._instances,
                 self._owner,
                 lambda instance: self._view.admits(instance, self._now_ms()),
