--- a/src/wasabivalve/key_leases/__init__.py
+++ b/src/wasabivalve/key_leases/__init__.py
@@ -1,13 +1,12 @@
 """Exclusive holds of key ranges that a controller grants to instances."""
 
-from .controller import Calls, Controller
+from .controller import Controller
 from .core import KeyMap, KeyRange, decode, encode
 from .key_loads import KeyLoads, LoadProfile
 from .planning import plan_loss, plan_moves
 from .view import Holder, KeyView, MovingRange
 
 __all__ = [
-    "Calls",
     "Controller",
     "Holder",
     "KeyLoads",
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -6,45 +6,14 @@
 """
 
 import asyncio
-import dataclasses
 import math
-import uuid
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
-from typing import Any, Literal, NamedTuple
+from typing import Any
 
 from wasabivalve import events
 from wasabivalve.placement import core as placement
 
-from . import core, key_loads, planning, view
-
-HOLD_MS = 4_000.0
-"""Time for which a grant holds; a lost controller is replaced within about 2.5 s."""
-
-RENEWAL_MS = 1_200.0
-"""Interval of renewals; two may be lost before a hold runs out."""
-
-CLOCK_MARGIN = 1.03
-"""A server's clock may run 2 % slow; the rest covers the way of the call."""
-
-LATEST_ARRIVAL_MS = 1_300.0
-"""Time after which a call without an answer certainly does not arrive any more.
-
-It covers opening the connection, the time limit of the call and one way of the
-network; the connection is reset then. The hold runs from the arrival.
-"""
-
-AUTHORITY_MS = 12_000.0
-"""A controller renews for this long after the registry last confirmed it.
-
-It rides out an outage of the store of that length. A successor waits as long before
-it takes keys from an instance that does not answer.
-"""
-
-CALL_TIMEOUT_MS = 450.0
-"""Time for a call to an instance; a round trip between regions takes 40 ms.
-
-A hold of 4 s leaves time for five calls, of which one must be answered.
-"""
+from . import core, holds, planning, recorder, view
 
 RELEASE_TIMEOUT_MS = 2_500.0
 """Time for a release, which ends when the work on the keys has ended."""
@@ -54,9 +23,6 @@
 LOST_AFTER_MS = 900.0
 """Renewals that fail for this long make an instance count as lost."""
 
-NO_WRITE = -1
-"""Number of a message about ranges whose recorded holder has not changed."""
-
 MOST_UNANSWERED = 6
 """Grants without an answer after which no more are sent to a silent instance."""
 
@@ -82,111 +48,37 @@
 START_WAIT_MS = 700.0
 """Time for which the set of instances must be unchanged before the first plan."""
 
-RETRY_WRITE_S = 0.15
-
-GrantResult = Literal["granted", "refused", "not_sent", "no_answer"]
-"""Only a grant that was not sent certainly does not arrive."""
-
-AppendResult = Literal["done", "moved", "refused", "unknown"]
-"""A refused append was certainly not done; an unknown one may be done seconds later."""
-
-WriteResult = Literal["written", "aborted", "superseded"]
-
-
-class Released(NamedTuple):
-    """State that an instance gave up keys, with its handover if it gave one."""
-
-    handover: str | None
-
-
-class Ledger(NamedTuple):
-    """Hold the newest recorded map and the position of the next record."""
-
-    key_map: core.KeyMap
-    end: int
-
-
-class Calls(NamedTuple):
-    """Give the controller its calls to the store and to instances.
-
-    Times are in ms; ``now`` also counts time for which the machine was suspended.
-    """
-
-    now: Callable[[], float]
-    read_ledger: Callable[[], Awaitable[Ledger | None]]
-    append_ledger: Callable[[core.KeyMap, int], Awaitable[AppendResult]]
-    grant: Callable[
-        [placement.Instance, int, int, int, float, str | None, float],
-        Awaitable[GrantResult],
-    ]
-    release: Callable[
-        [placement.Instance, int, int, int, float], Awaitable[Released | None]
-    ]
-
-
-class Surroundings(NamedTuple):
-    """Give the controller what other parts know."""
-
-    divided_services: Callable[[], Sequence[str]]
-    instance: Callable[[str], placement.Instance | None]
-    instances: Callable[[str], Sequence[placement.Instance]]
-    capacity: Callable[[placement.Instance], float]
-    loads: Callable[[str], key_loads.LoadProfile]
-    on_map: Callable[[core.KeyMap], None]
-    on_moving: Callable[[list[view.MovingRange], float], None]
-    on_settled: Callable[[int, int, str, list[core.KeyRange]], None]
-    on_shares: Callable[[dict[str, float]], None]
-
-
-@dataclasses.dataclass(slots=True)
-class _Hold:
-    """Hold what is known of one recorded range; times in ms of ``now``."""
-
-    service: str
-    range: core.KeyRange
-    token: int
-    until: float
-    due_at: float = 0.0
-    answered: bool = False
-    failing_since: float | None = None
-    unanswered_until: float = 0.0
-    held_until: float = 0.0
-    unanswered_in_row: int = 0
-    announced: bool = False
-    frozen: bool = False
-    free: bool = False
-    handover: str | None = None
-    last_known: placement.Instance | None = None
-    calls: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
-
 
 class Controller:
     """Control the keys of all divided services while this VM leads."""
 
     def __init__(
-        self, vm: str, hold_max_ms: float, calls: Calls, surroundings: Surroundings
+        self,
+        vm: str,
+        hold_max_ms: float,
+        calls: holds.Calls,
+        surroundings: holds.Surroundings,
     ) -> None:
         self._vm = vm
-        self._hold_ms = min(HOLD_MS, hold_max_ms)
+        self._hold_ms = min(holds.HOLD_MS, hold_max_ms)
         self._calls = calls
         self._around = surroundings
-        self._writer = uuid.uuid4().hex
         self._leads = False
         self._named = False
         self._confirmed_at = 0.0
-        self._term: int | None = None
-        self._map = core.EMPTY
-        self._end = 0
-        self._step = 0
-        self._holds: list[_Hold] = []
+        self._recorder = recorder.Recorder(vm, calls, surroundings.on_map)
+        self._holds: list[holds.Hold] = []
         self._seen: tuple[str, ...] = ()
         self._seen_since = 0.0
         self._balanced_at = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self._calls_under_way: set[asyncio.Task[None]] = set()
-        self._writing = asyncio.Lock()
         self._avoided_until: dict[tuple[str, int], float] = {}
 
+    @property
+    def _term(self) -> int | None:
+        return self._recorder.term
+
     @property
     def leads(self) -> bool:
         """Return whether this VM leads and has claimed its term."""
@@ -227,7 +119,7 @@
         if self._leads:
             events.emit(311, vm=self._vm, term=self._term, reason=reason)
         self._leads = False
-        self._term = None
+        self._recorder.term = None
         self._holds = []
 
     def on_record(self, key_map: core.KeyMap) -> None:
@@ -247,7 +139,7 @@
     def _has_authority(self) -> bool:
         if not self._leads or self._term is None:
             return False
-        if self._calls.now() < self._confirmed_at + AUTHORITY_MS:
+        if self._calls.now() < self._confirmed_at + holds.AUTHORITY_MS:
             return True
         self.on_follower("the store has not confirmed the leader for too long")
         return False
@@ -255,28 +147,14 @@
     # Claim and record.
 
     async def _claim(self) -> None:
-        ledger = await self._calls.read_ledger()
-        if ledger is None or not self._leads:
-            return
-        claim = ledger.key_map._replace(
-            term=ledger.end, controller=self._vm, writer=self._writer, number=0
-        )
-        result = await self._calls.append_ledger(claim, ledger.end)
-        if result != "done":
-            # A claim without an answer may still be done; the next round then finds
-            # the end moved and claims again behind it.
-            events.emit(312, result=result, at=ledger.end)
-            return
-        if not self._leads:
+        if not await self._recorder.claim(lambda: self._leads):
             return
-        self._term, self._end, self._step = ledger.end, ledger.end + 1, 0
-        self._take_map(claim)
         now = self._calls.now()
-        longest = AUTHORITY_MS + self._longest_hold_ms()
-        token = self._next_token()
+        longest = holds.AUTHORITY_MS + self._longest_hold_ms()
+        token = self._recorder.next_token()
         self._holds = [
-            _Hold(service, one, token, now + longest)
-            for service, ranges in claim.ranges_by_service.items()
+            holds.Hold(service, one, token, now + longest)
+            for service, ranges in self._recorder.key_map.ranges_by_service.items()
             for one in ranges
         ]
         events.emit(304, term=self._term, ranges=len(self._holds))
@@ -285,61 +163,16 @@
         self,
         ranges_by_service: Mapping[str, list[core.KeyRange]],
         patience_ms: float = math.inf,
-    ) -> WriteResult:
-        """Record ranges; give up after a time if they are certainly not recorded."""
-        async with self._writing:
-            term = self._term
-            give_up_at = self._calls.now() + patience_ms
-            certain = True
-            changed = {
-                service: core.merge(ranges)
-                for service, ranges in ranges_by_service.items()
-            }
-            new = self._map._replace(
-                number=self._map.number + 1,
-                ranges_by_service={**self._map.ranges_by_service, **changed},
-            )
-            while self._has_authority() and self._term == term:
-                result = await self._calls.append_ledger(new, self._end)
-                if result == "moved":
-                    ledger = await self._calls.read_ledger()
-                    if ledger is None:
-                        await asyncio.sleep(RETRY_WRITE_S)
-                        continue
-                    newest = ledger.key_map
-                    if (newest.writer, newest.number) != (new.writer, new.number):
-                        self.on_follower("another controller wrote to the ledger")
-                        return "superseded"
-                    result = "done"
-                if result == "done":
-                    if self._term != term:
-                        return "superseded"
-                    self._end += 1
-                    self._take_map(new)
-                    return "written"
-                certain = certain and result == "refused"
-                if certain and self._calls.now() >= give_up_at:
-                    return "aborted"
-                await asyncio.sleep(RETRY_WRITE_S)
-            return "superseded"
-
-    async def _can_write(self) -> bool:
-        """Return whether the store answers and this term is still the newest."""
-        term = self._term
-        ledger = await self._calls.read_ledger()
-        return ledger is not None and self._term == term and ledger.end == self._end
-
-    def _take_map(self, key_map: core.KeyMap) -> None:
-        self._map = key_map
-        self._around.on_map(key_map)
-
-    def _next_token(self) -> int:
-        assert self._term is not None
-        self._step += 1
-        return core.token(self._term, self._step)
+    ) -> recorder.WriteResult:
+        result = await self._recorder.write(
+            ranges_by_service, self._has_authority, patience_ms
+        )
+        if result == "superseded":
+            self.on_follower("another controller wrote to the ledger")
+        return result
 
     def _longest_hold_ms(self) -> float:
-        return self._hold_ms * CLOCK_MARGIN + LATEST_ARRIVAL_MS
+        return self._hold_ms * holds.CLOCK_MARGIN + holds.LATEST_ARRIVAL_MS
 
     # Renewals.
 
@@ -353,7 +186,7 @@
             instance = self._around.instance(hold.range.instance)
             if instance is None or instance.born != hold.range.born:
                 continue
-            hold.due_at = now + RENEWAL_MS
+            hold.due_at = now + holds.RENEWAL_MS
             hold.last_known = instance
             self._start_call(self._grant(hold, instance), hold.calls)
 
@@ -369,7 +202,7 @@
             also.add(task)
             task.add_done_callback(also.discard)
 
-    async def _grant(self, hold: _Hold, instance: placement.Instance) -> None:
+    async def _grant(self, hold: holds.Hold, instance: placement.Instance) -> None:
         term = self._term
         sent_at = self._calls.now()
         until = sent_at + self._longest_hold_ms()
@@ -383,15 +216,15 @@
             hold.token,
             self._hold_ms / 1000.0,
             hold.handover,
-            CALL_TIMEOUT_MS,
+            holds.CALL_TIMEOUT_MS,
         )
         if self._term != term:
             return
         if result == "granted":
             # Grants of earlier terms are refused from here on.
-            hold.until = self._calls.now() + self._hold_ms * CLOCK_MARGIN
+            hold.until = self._calls.now() + self._hold_ms * holds.CLOCK_MARGIN
             hold.unanswered_until = unanswered_before
-            hold.held_until = sent_at + self._hold_ms / CLOCK_MARGIN
+            hold.held_until = sent_at + self._hold_ms / holds.CLOCK_MARGIN
             hold.answered = True
             hold.failing_since = None
             hold.unanswered_in_row = 0
@@ -399,7 +232,10 @@
                 hold.announced = False
                 self._avoided_until.pop((instance.id, instance.born), None)
                 self._around.on_settled(
-                    self._map.term, NO_WRITE, hold.service, [hold.range]
+                    self._recorder.key_map.term,
+                    holds.NO_WRITE,
+                    hold.service,
+                    [hold.range],
                 )
             hold.handover = None
             return
@@ -422,7 +258,7 @@
             hold.unanswered_in_row += 1
         if hold.failing_since is None:
             hold.failing_since = sent_at
-        hold.due_at = min(hold.due_at, self._calls.now() + RENEWAL_MS / 4.0)
+        hold.due_at = min(hold.due_at, self._calls.now() + holds.RENEWAL_MS / 4.0)
 
     # Moves.
 
@@ -440,7 +276,7 @@
         for service in self._around.divided_services():
             if not self._has_authority():
                 return
-            if not self._map.ranges_by_service.get(service):
+            if not self._recorder.key_map.ranges_by_service.get(service):
                 await self._assign_first(service)
             else:
                 await self._replace_lost(service)
@@ -478,7 +314,7 @@
         term = self._term
         # Without keys there is nothing to give up, and a release is never refused.
         answer = await self._calls.release(
-            instance, 0, 0, self._next_token(), CALL_TIMEOUT_MS
+            instance, 0, 0, self._recorder.next_token(), holds.CALL_TIMEOUT_MS
         )
         if answer is not None and self._term == term:
             self._avoided_until.pop((instance.id, instance.born), None)
@@ -508,7 +344,9 @@
             return
         events.emit(302, service=service, ranges=len(ranges), reason="first plan")
         for one in ranges:
-            self._holds.append(_Hold(service, one, self._next_token(), 0.0))
+            self._holds.append(
+                holds.Hold(service, one, self._recorder.next_token(), 0.0)
+            )
         await self._renew()
 
     async def _replace_lost(self, service: str) -> None:
@@ -549,12 +387,12 @@
         if moves:
             await self._hand_over(service, free, moves, "holder is gone")
 
-    def _announce(self, hold: _Hold, pause_ms: float) -> None:
+    def _announce(self, hold: holds.Hold, pause_ms: float) -> None:
         """Tell all VMs how long a range may be without a holder."""
         moving = view.MovingRange(hold.service, hold.range.first, hold.range.last)
         self._around.on_moving([moving], max(PLANNED_PAUSE_MS, pause_ms))
 
-    def _on_failing(self, hold: _Hold, instance: placement.Instance) -> None:
+    def _on_failing(self, hold: holds.Hold, instance: placement.Instance) -> None:
         """Free a range whose holder stays silent once its hold has run out."""
         now = self._calls.now()
         # While calls are only unanswered, the holder may well serve its requests.
@@ -572,7 +410,7 @@
             hold.frozen = hold.free = True
 
     async def _release(
-        self, hold: _Hold, instance: placement.Instance, tries: int = RELEASE_TRIES
+        self, hold: holds.Hold, instance: placement.Instance, tries: int = RELEASE_TRIES
     ) -> None:
         """Take a range back; try a few times, as single calls may stay unanswered."""
         term = self._term
@@ -602,12 +440,12 @@
             self._announce(hold, hold.until - self._calls.now())
 
     async def _show_newer_token(
-        self, hold: _Hold, instance: placement.Instance
+        self, hold: holds.Hold, instance: placement.Instance
     ) -> bool:
         """Make sure that no older grant can be carried out behind a release."""
         if hold.answered and self._calls.now() >= hold.unanswered_until:
             return True
-        hold.token = self._next_token()
+        hold.token = self._recorder.next_token()
         hold.answered = False
         await self._grant(hold, instance)
         if hold.answered:
@@ -617,11 +455,11 @@
     async def _hand_over(
         self,
         service: str,
-        free: Sequence[_Hold],
+        free: Sequence[holds.Hold],
         moves: Sequence[planning.Move],
         reason: str,
         patience_ms: float = math.inf,
-    ) -> WriteResult:
+    ) -> recorder.WriteResult:
         """Record free ranges for their new holders and grant them."""
         ranges = [hold.range for hold in self._of(service) if hold not in free]
         new = []
@@ -630,7 +468,7 @@
             ranges.append(one)
             for source in free:
                 if source.range.first <= move.first <= source.range.last:
-                    hold = _Hold(service, one, self._next_token(), 0.0)
+                    hold = holds.Hold(service, one, self._recorder.next_token(), 0.0)
                     hold.handover = source.handover
                     new.append(hold)
                     break
@@ -650,7 +488,7 @@
             )
         await self._renew()
         # Requests are held until the new holders have confirmed.
-        term, number = self._map.term, self._map.number
+        term, number = self._recorder.key_map.term, self._recorder.key_map.number
         calls = [call for hold in new for call in hold.calls]
         if calls:
             await asyncio.wait(calls)
@@ -660,23 +498,23 @@
         return "written"
 
     async def _balance(self, service: str) -> None:
-        holds = self._of(service)
-        if not holds or any(hold.frozen or not hold.answered for hold in holds):
+        own = self._of(service)
+        if not own or any(hold.frozen or not hold.answered for hold in own):
             return
         targets = self._targets(service)
         loads = self._around.loads(service)
-        ranges = [hold.range for hold in holds]
+        ranges = [hold.range for hold in own]
         moves = planning.plan_moves(service, ranges, targets, loads, MOST_MOVES)
         pressure = planning.find_pressure(ranges, targets, loads)
         if pressure is not None and pressure.rate > OVERLOAD * pressure.capacity:
             events.emit(314, service=service, moves=len(moves), **pressure._asdict())
         self._around.on_shares(planning.find_shares(ranges, targets, loads))
-        if not moves or not await self._can_write():
+        if not moves or not await self._recorder.can_write():
             return
         moving = [view.MovingRange(service, one.first, one.last) for one in moves]
         self._around.on_moving(moving, PLANNED_PAUSE_MS)
         for move in moves:
-            self._split(service, move.first, move.last)
+            self._holds = holds.split(self._holds, service, move.first, move.last)
         sources = [
             hold
             for hold in self._of(service)
@@ -714,30 +552,17 @@
             # The record still names the old holders: they may have their keys back.
             self._keep(free)
 
-    def _keep(self, holds: Sequence[_Hold]) -> None:
+    def _keep(self, kept: Sequence[holds.Hold]) -> None:
         """Renew holds again that were to move, with a token above all sent so far."""
-        if not holds or not self._has_authority():
+        if not kept or not self._has_authority():
             return
-        for hold in holds:
+        for hold in kept:
             hold.free = hold.frozen = False
-            hold.token = self._next_token()
+            hold.token = self._recorder.next_token()
             hold.due_at = 0.0
             # The next answer tells all VMs that the range has its holder again.
             hold.announced = True
-        events.emit(315, service=holds[0].service, ranges=len(holds))
-
-    def _split(self, service: str, first: int, last: int) -> None:
-        """Cut holds so that the range from first to last has holds of its own."""
-        result = []
-        for hold in self._holds:
-            one = hold.range
-            if hold.service != service or one.last < first or one.first > last:
-                result.append(hold)
-                continue
-            inside = one._replace(first=max(one.first, first), last=min(one.last, last))
-            parts = [*core.cut((one,), first, last), inside]
-            result += [dataclasses.replace(hold, range=part) for part in parts]
-        self._holds = result
+        events.emit(315, service=kept[0].service, ranges=len(kept))
 
-    def _of(self, service: str) -> list[_Hold]:
+    def _of(self, service: str) -> list[holds.Hold]:
         return [hold for hold in self._holds if hold.service == service]
--- /dev/null
+++ b/src/wasabivalve/key_leases/holds.py
@@ -0,0 +1,129 @@
+"""Define holds of key ranges, their times, and what a controller calls."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Literal, NamedTuple
+
+from wasabivalve.placement import core as placement
+
+from . import core, key_loads, view
+
+HOLD_MS = 4_000.0
+"""Time for which a grant holds; a lost controller is replaced within about 2.5 s."""
+
+RENEWAL_MS = 1_200.0
+"""Interval of renewals; two may be lost before a hold runs out."""
+
+CLOCK_MARGIN = 1.03
+"""A server's clock may run 2 % slow; the rest covers the way of the call."""
+
+LATEST_ARRIVAL_MS = 1_300.0
+"""Time after which a call without an answer certainly does not arrive any more.
+
+It covers opening the connection, the time limit of the call and one way of the
+network; the connection is reset then. The hold runs from the arrival.
+"""
+
+AUTHORITY_MS = 12_000.0
+"""A controller renews for this long after the registry last confirmed it.
+
+It rides out an outage of the store of that length. A successor waits as long before
+it takes keys from an instance that does not answer.
+"""
+
+CALL_TIMEOUT_MS = 450.0
+"""Time for a call to an instance; a round trip between regions takes 40 ms.
+
+A hold of 4 s leaves time for five calls, of which one must be answered.
+"""
+
+NO_WRITE = -1
+"""Number of a message about ranges whose recorded holder has not changed."""
+
+GrantResult = Literal["granted", "refused", "not_sent", "no_answer"]
+"""Only a grant that was not sent certainly does not arrive."""
+
+AppendResult = Literal["done", "moved", "refused", "unknown"]
+"""A refused append was certainly not done; an unknown one may be done seconds later."""
+
+
+class Released(NamedTuple):
+    """State that an instance gave up keys, with its handover if it gave one."""
+
+    handover: str | None
+
+
+class Ledger(NamedTuple):
+    """Hold the newest recorded map and the position of the next record."""
+
+    key_map: core.KeyMap
+    end: int
+
+
+class Calls(NamedTuple):
+    """Give the controller its calls to the store and to instances.
+
+    Times are in ms; ``now`` also counts time for which the machine was suspended.
+    """
+
+    now: Callable[[], float]
+    read_ledger: Callable[[], Awaitable[Ledger | None]]
+    append_ledger: Callable[[core.KeyMap, int], Awaitable[AppendResult]]
+    grant: Callable[
+        [placement.Instance, int, int, int, float, str | None, float],
+        Awaitable[GrantResult],
+    ]
+    release: Callable[
+        [placement.Instance, int, int, int, float], Awaitable[Released | None]
+    ]
+
+
+class Surroundings(NamedTuple):
+    """Give the controller what other parts know."""
+
+    divided_services: Callable[[], Sequence[str]]
+    instance: Callable[[str], placement.Instance | None]
+    instances: Callable[[str], Sequence[placement.Instance]]
+    capacity: Callable[[placement.Instance], float]
+    loads: Callable[[str], key_loads.LoadProfile]
+    on_map: Callable[[core.KeyMap], None]
+    on_moving: Callable[[list[view.MovingRange], float], None]
+    on_settled: Callable[[int, int, str, list[core.KeyRange]], None]
+    on_shares: Callable[[dict[str, float]], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Hold:
+    """Hold what is known of one recorded range; times in ms of ``now``."""
+
+    service: str
+    range: core.KeyRange
+    token: int
+    until: float
+    due_at: float = 0.0
+    answered: bool = False
+    failing_since: float | None = None
+    unanswered_until: float = 0.0
+    held_until: float = 0.0
+    unanswered_in_row: int = 0
+    announced: bool = False
+    frozen: bool = False
+    free: bool = False
+    handover: str | None = None
+    last_known: placement.Instance | None = None
+    calls: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+
+
+def split(all_holds: Sequence[Hold], service: str, first: int, last: int) -> list[Hold]:
+    """Return the holds, with holds of its own for the range from first to last."""
+    result: list[Hold] = []
+    for hold in all_holds:
+        one = hold.range
+        if hold.service != service or one.last < first or one.first > last:
+            result.append(hold)
+            continue
+        inside = one._replace(first=max(one.first, first), last=min(one.last, last))
+        parts = [*core.cut((one,), first, last), inside]
+        result += [dataclasses.replace(hold, range=part) for part in parts]
+    return result
--- /dev/null
+++ b/src/wasabivalve/key_leases/recorder.py
@@ -0,0 +1,112 @@
+"""Claim terms and record ranges in the ledger, by conditional appends."""
+
+import asyncio
+import math
+import uuid
+from collections.abc import Callable, Mapping
+from typing import Literal
+
+from wasabivalve import events
+
+from . import core, holds
+
+RETRY_WRITE_S = 0.15
+"""Pause between attempts of one write; the store needs some ms for a call."""
+
+WriteResult = Literal["written", "aborted", "superseded"]
+
+
+class Recorder:
+    """Hold the term of this VM, if it has one, and the map that it recorded."""
+
+    def __init__(
+        self, vm: str, calls: holds.Calls, on_map: Callable[[core.KeyMap], None]
+    ) -> None:
+        self.term: int | None = None
+        self.key_map = core.EMPTY
+        self._vm = vm
+        self._calls = calls
+        self._on_map = on_map
+        # Tells this life of the VM from others of its name.
+        self._writer = uuid.uuid4().hex
+        self._end = 0
+        self._step = 0
+        self._writing = asyncio.Lock()
+
+    def next_token(self) -> int:
+        """Return a token above all that were sent before."""
+        assert self.term is not None
+        self._step += 1
+        return core.token(self.term, self._step)
+
+    async def claim(self, leads: Callable[[], bool]) -> bool:
+        """Claim a term; return whether this VM has it."""
+        ledger = await self._calls.read_ledger()
+        if ledger is None or not leads():
+            return False
+        claim = ledger.key_map._replace(
+            term=ledger.end, controller=self._vm, writer=self._writer, number=0
+        )
+        result = await self._calls.append_ledger(claim, ledger.end)
+        if result != "done":
+            # A claim without an answer may still be done; the next round then finds
+            # the end moved and claims again behind it.
+            events.emit(312, result=result, at=ledger.end)
+            return False
+        if not leads():
+            return False
+        self.term, self._end, self._step = ledger.end, ledger.end + 1, 0
+        self._take_map(claim)
+        return True
+
+    async def write(
+        self,
+        ranges_by_service: Mapping[str, list[core.KeyRange]],
+        has_authority: Callable[[], bool],
+        patience_ms: float = math.inf,
+    ) -> WriteResult:
+        """Record ranges; give up after a time if they are certainly not recorded."""
+        async with self._writing:
+            term = self.term
+            give_up_at = self._calls.now() + patience_ms
+            certain = True
+            changed = {
+                service: core.merge(ranges)
+                for service, ranges in ranges_by_service.items()
+            }
+            new = self.key_map._replace(
+                number=self.key_map.number + 1,
+                ranges_by_service={**self.key_map.ranges_by_service, **changed},
+            )
+            while has_authority() and self.term == term:
+                result = await self._calls.append_ledger(new, self._end)
+                if result == "moved":
+                    ledger = await self._calls.read_ledger()
+                    if ledger is None:
+                        await asyncio.sleep(RETRY_WRITE_S)
+                        continue
+                    newest = ledger.key_map
+                    if (newest.writer, newest.number) != (new.writer, new.number):
+                        return "superseded"
+                    result = "done"
+                if result == "done":
+                    if self.term != term:
+                        return "superseded"
+                    self._end += 1
+                    self._take_map(new)
+                    return "written"
+                certain = certain and result == "refused"
+                if certain and self._calls.now() >= give_up_at:
+                    return "aborted"
+                await asyncio.sleep(RETRY_WRITE_S)
+            return "superseded"
+
+    async def can_write(self) -> bool:
+        """Return whether the store answers and this term is still the newest."""
+        term = self.term
+        ledger = await self._calls.read_ledger()
+        return ledger is not None and self.term == term and ledger.end == self._end
+
+    def _take_map(self, key_map: core.KeyMap) -> None:
+        self.key_map = key_map
+        self._on_map(key_map)
--- a/src/wasabivalve/key_leases/tests/lease_world.py
+++ b/src/wasabivalve/key_leases/tests/lease_world.py
@@ -8,7 +8,7 @@
 import itertools
 import random
 
-from wasabivalve.key_leases import controller, core, key_loads
+from wasabivalve.key_leases import controller, core, holds, key_loads
 from wasabivalve.placement import core as placement
 
 SERVICE = "desk"
@@ -143,14 +143,14 @@
 
     def build(self, name):
         """Return a controller of this world."""
-        calls = controller.Calls(
+        calls = holds.Calls(
             lambda: 1000.0 * self.now_s(),
             self._read,
             self._append,
             self._grant,
             self._release,
         )
-        surroundings = controller.Surroundings(
+        surroundings = holds.Surroundings(
             lambda: [SERVICE],
             self.listed.get,
             lambda service: list(self.listed.values()),
@@ -178,7 +178,7 @@
         if not self.store_up:
             return None
         newest = self.ledger[-1] if self.ledger else core.EMPTY
-        return controller.Ledger(newest, len(self.ledger))
+        return holds.Ledger(newest, len(self.ledger))
 
     async def _append(self, key_map, at):
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
@@ -238,7 +238,7 @@
         await asyncio.sleep(self.random.uniform(0.001, 0.3))
         instance.release(first, last)
         await asyncio.sleep(self.random.uniform(0.001, 0.04))
-        return controller.Released("h")
+        return holds.Released("h")
 
 
 def play(scenario, *arguments, **options):
--- a/src/wasabivalve/key_leases/tests/test_controller.py
+++ b/src/wasabivalve/key_leases/tests/test_controller.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from wasabivalve.key_leases import controller, core
+from wasabivalve.key_leases import core, holds
 from wasabivalve.key_leases.tests import lease_world
 
 
@@ -321,8 +321,8 @@
 
 def test_a_controller_that_grants_before_it_waits_is_found(monkeypatch):
     """The checker of this world must see a wrong rule."""
-    monkeypatch.setattr(controller, "LATEST_ARRIVAL_MS", -3_000.0)
-    monkeypatch.setattr(controller, "CLOCK_MARGIN", 0.1)
+    monkeypatch.setattr(holds, "LATEST_ARRIVAL_MS", -3_000.0)
+    monkeypatch.setattr(holds, "CLOCK_MARGIN", 0.1)
 
     async def scenario(world):
         leader = world.build("a")
--- a/src/wasabivalve/key_leases/tests/test_planning.py
+++ b/src/wasabivalve/key_leases/tests/test_planning.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from wasabivalve.key_leases import controller, core, key_loads, planning, view
+from wasabivalve.key_leases import core, holds, key_loads, planning, view
 
 TARGETS = [planning.Target(f"i-{n}", 1, 40.0) for n in range(3)]
 
@@ -153,7 +153,7 @@
         core.KeyMap(1, "vm", "w", 1, {"s": (core.KeyRange(0, 65_535, "i-0", 1),)})
     )
     known.on_moving([view.MovingRange("s", 10, 20)], 500.0)
-    known.on_settled(1, controller.NO_WRITE, "s", [core.KeyRange(10, 20, "i-0", 1)])
+    known.on_settled(1, holds.NO_WRITE, "s", [core.KeyRange(10, 20, "i-0", 1)])
     assert known.key_map.number == 1
     assert known.find("s", 15, 0.0).instance == "i-0"
 
--- a/src/wasabivalve/placement/directory.py
+++ b/src/wasabivalve/placement/directory.py
@@ -11,6 +11,9 @@
 Entries that lapsed while the registry was away are back within about 2 s.
 """
 
+LEAST_OUTAGE_MS = 1_000.0
+"""A shorter outage makes no entry lapse: that takes three missed heartbeats."""
+
 REMEMBERED_REMOVALS = 2_000
 """Removed instances whose last life is remembered, so that late entries are ignored."""
 
@@ -35,16 +38,17 @@
         self._life_by_id: dict[str, _Life] = {}
         self._removal_due_by_id: dict[str, float] = {}
         self._returned_at: float | None = None
-        self._away = False
+        self._away_since: float | None = None
 
-    def on_outage(self) -> None:
+    def on_outage(self, now: float) -> None:
         """Note that the registry does not answer."""
-        self._away = True
+        if self._away_since is None:
+            self._away_since = now
 
     def on_contact(self, now: float) -> None:
         """Note that the registry answers."""
-        if self._away:
-            self._away = False
+        since, self._away_since = self._away_since, None
+        if since is not None and now >= since + LEAST_OUTAGE_MS:
             self._returned_at = now
 
     def on_entry(self, instance: core.Instance) -> None:
@@ -88,7 +92,7 @@
 
     def tick(self, now: float) -> None:
         """Carry out removals whose time of grace is over."""
-        if self._away:
+        if self._away_since is not None:
             return
         due = [one for one, at in self._removal_due_by_id.items() if at <= now]
         for instance_id in due:
--- a/src/wasabivalve/placement/tests/test_directory.py
+++ b/src/wasabivalve/placement/tests/test_directory.py
@@ -58,12 +58,22 @@
     """Instances that live but could not write must not lose their keys at once."""
     known, _ = build()
     known.on_entry(entry())
-    known.on_outage()
-    known.on_contact(1_000.0)
-    known.on_removed("i-1", 1_000.0)
-    known.tick(3_000.0)
+    known.on_outage(0.0)
+    known.on_contact(4_000.0)
+    known.on_removed("i-1", 4_000.0)
+    known.tick(6_000.0)
     assert known.instance_by_id
-    known.tick(1_000.0 + directory.RETURN_GRACE_MS)
+    known.tick(4_000.0 + directory.RETURN_GRACE_MS)
+    assert not known.instance_by_id
+
+
+def test_single_lost_answer_gives_no_time_of_grace():
+    """An instance that left must get no request for the sake of a lost answer."""
+    known, _ = build()
+    known.on_entry(entry())
+    known.on_outage(0.0)
+    known.on_contact(500.0)
+    known.on_removed("i-1", 600.0)
     assert not known.instance_by_id
 
 
@@ -71,7 +81,7 @@
     """A removal that was put off must not hit an instance that came back."""
     known, _ = build()
     known.on_entry(entry())
-    known.on_outage()
+    known.on_outage(-4_000.0)
     known.on_contact(0.0)
     known.on_removed("i-1", 0.0)
     known.on_entry(entry(sequence=2))
@@ -83,10 +93,10 @@
     """Silence of the registry proves nothing about an instance."""
     known, _ = build()
     known.on_entry(entry())
-    known.on_outage()
+    known.on_outage(-4_000.0)
     known.on_contact(0.0)
     known.on_removed("i-1", 0.0)
-    known.on_outage()
+    known.on_outage(1_000.0)
     known.tick(60_000.0)
     assert known.instance_by_id
 
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -10,29 +10,23 @@
 
 from wasabivalve import events
 from wasabivalve.desired_state import core as desired_state
-from wasabivalve.gateway import caller_connection, messages, rooms
 from wasabivalve.gateway import core as gateway
-from wasabivalve.key_leases import controller, key_loads, view
+from wasabivalve.gateway import messages, rooms
+from wasabivalve.key_leases import controller, holds, key_loads, view
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.placement import core as placement
 from wasabivalve.placement import directory
-from wasabivalve.vm_link import core as vm_link
+from wasabivalve.vm_link import exchange
 
 from . import desired_state as desired_state_decoder
-from . import grants, headers, instances, settings, store
+from . import grants, headers, instances, membership, pages, settings, store
 
 OPERATOR_TOPIC = "keyed.op"
 OPERATOR_KEY = "config"
 SERVERS_TOPIC = "keyed.servers"
 LEDGER_TOPIC = "keyed.wasabivalve.keys"
 LEDGER_KEY = "map"
-VMS_TOPIC = "keyed.wasabivalve.vms"
-GROUP = "wasabivalve.controller"
-GROUP_TOPIC = "wasabivalve.controller"
-LEADER_PART = 0
-"""The VM that holds this partition of the group's topic is the controller."""
-
 READINESS_PATH = "/api/readiness"
 METRICS_PATH = "/metrics"
 
@@ -46,17 +40,6 @@
 VMS_INTERVAL_S = 1.5
 """The controller relays to the VMs that it knows; until then each reads by itself."""
 
-SETTLING_S = 0.8
-"""Time for which the controller's own message about moved keys is awaited."""
-
-JOIN_INTERVAL_S = 0.6
-GROUP_TTL_S = 1.6
-"""Time without a call after which another VM becomes the controller."""
-
-IDLE_JOIN_INTERVAL_S = 1.2
-IDLE_TTL_S = 3.5
-"""The same for VMs without a partition, of which large deployments have many."""
-
 CALL_REPORT_S = 10.0
 TICK_S = 0.3
 SECOND_MS = 1000.0
@@ -73,31 +56,6 @@
     return SECOND_MS * time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class _PageFront:
-    """Serve one page to the platform."""
-
-    def __init__(self, path: str, page: Callable[[], messages.Answer]) -> None:
-        self.stopping = False
-        self._path = path
-        self._page = page
-
-    def limits(self) -> desired_state.CallerLimits:
-        """Return limits for the platform's own calls."""
-        return caller_connection.DEFAULT_LIMITS
-
-    async def handle(self, request: messages.Request) -> messages.Answer:
-        """Return the page."""
-        if request.path != self._path:
-            return messages.own_answer(404, "there is nothing here")
-        return self._page()
-
-    def on_open(self, connection: caller_connection.CallerConnection) -> None:
-        """Do nothing; these connections need no drain."""
-
-    def on_closed(self, connection: caller_connection.CallerConnection) -> None:
-        """Do nothing."""
-
-
 class EntryVM:
     """Serve callers of one VM and control keys while it leads."""
 
@@ -109,20 +67,20 @@
         self._orders = grants.Orders()
         self._state: desired_state.DesiredState | None = None
         self._view = view.KeyView()
-        self._address_by_vm: dict[str, vm_link.Address] = {loaded.vm: loaded.link}
-        self._settling_until = 0.0
-        self._shares_sent = False
-        self._controller_address: vm_link.Address | None = None
-        self._link = vm_link.Link(self._on_message)
-        self._follower_by_topic: dict[str, keyed_log.TopicFollower] = {}
         self._changing: set[int] = set()
         self._changed = False
         self._listed = False
-        self._ledger_listed = False
         self._stopping = False
-        self._generation = 0
-        self._parts: frozenset[int] = frozenset()
         self._loads = key_loads.KeyLoads()
+        self._exchange = exchange.Exchange(
+            loaded.vm,
+            loaded.link,
+            exchange.Topics(SERVERS_TOPIC, LEDGER_TOPIC),
+            self._view,
+            self._loads,
+            lambda: self._controller.leads,
+            lambda: self._gateway.on_owners_changed(),
+        )
         self._directory = directory.InstanceDirectory(self._on_instance)
         places = placement.Places(loaded.data_centre, loaded.region_by_data_centre)
         self._gateway = gateway.Gateway(
@@ -135,32 +93,35 @@
                 self._instances,
                 self._owner,
                 lambda instance: self._view.admits(instance, self._now_ms()),
-                lambda: len(self._address_by_vm),
+                lambda: len(self._exchange.address_by_vm),
                 lambda service, key: self._loads.on_key(service, key, self._now_ms()),
             ),
         )
         self._controller = controller.Controller(
             loaded.vm,
             loaded.hold_max_ms,
-            controller.Calls(
+            holds.Calls(
                 _boot_ms,
                 self._read_ledger,
                 self._append_ledger,
                 self._orders.grant,
                 self._orders.release,
             ),
-            controller.Surroundings(
+            holds.Surroundings(
                 self._divided_services,
                 self._directory.instance_by_id.get,
                 self._instances,
                 self._gateway.capacity,
                 lambda service: self._loads.profile(service, self._now_ms()),
                 self._take_map,
-                self._on_moving,
-                self._on_settled,
-                self._on_shares,
+                self._exchange.on_moving,
+                self._exchange.on_settled,
+                self._exchange.on_shares,
             ),
         )
+        self._membership = membership.Membership(
+            loaded, self._store, self._controller, self.is_ready, _boot_ms
+        )
         self._pages: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -172,11 +133,13 @@
         """Listen and follow the store."""
         callers = self._settings.callers
         await self._gateway.start(callers.host, callers.port)
-        await self._serve_page(
-            self._settings.readiness, READINESS_PATH, self._readiness_page
-        )
-        await self._serve_page(self._settings.metrics, METRICS_PATH, self._metrics_page)
-        await self._link.start(*self._settings.link)
+        self._pages = [
+            await pages.serve(
+                self._settings.readiness, READINESS_PATH, self._readiness_page
+            ),
+            await pages.serve(self._settings.metrics, METRICS_PATH, self._metrics_page),
+        ]
+        await self._exchange.start()
         self._controller.start()
         followers = (
             self._follower(
@@ -201,30 +164,19 @@
                 LEDGER_WAIT_S,
             ),
             self._follower(
-                VMS_TOPIC, self._on_vms_listing, self._on_vm_record, VMS_INTERVAL_S, 0.0
+                membership.VMS_TOPIC,
+                self._on_vms_listing,
+                self._exchange.on_vm,
+                VMS_INTERVAL_S,
+                0.0,
             ),
         )
-        self._follower_by_topic = {one.name: one for one in followers}
+        self._exchange.follower_by_topic = {one.name: one for one in followers}
         self._tasks = [self._loop.create_task(one.run()) for one in followers]
-        self._tasks.append(self._loop.create_task(self._keep_membership()))
+        self._tasks.append(self._loop.create_task(self._membership.run()))
         self._tasks.append(self._loop.create_task(self._tick()))
         events.emit(1, vm=self._settings.vm, data_centre=self._settings.data_centre)
 
-    async def _serve_page(
-        self,
-        address: settings.Address,
-        path: str,
-        page: Callable[[], messages.Answer],
-    ) -> None:
-        front = _PageFront(path, page)
-        server = await self._loop.create_server(
-            lambda: caller_connection.CallerConnection(front),
-            address.host,
-            address.port,
-            reuse_address=True,
-        )
-        self._pages.append(server)
-
     def _readiness_page(self) -> messages.Answer:
         if self.is_ready():
             return messages.own_answer(200, "ready")
@@ -245,7 +197,7 @@
         events.emit(2, vm=self._settings.vm, in_work=self._gateway.busy)
         self._stopping = self._gateway.stopping = True
         self._controller.on_follower("this VM stops")
-        leave = self._loop.create_task(self._store.leave(GROUP, self._settings.vm))
+        leave = self._loop.create_task(self._membership.leave())
         grace_s = (self._settings.grace_ms - EXIT_RESERVE_MS) / SECOND_MS
         rotation_s = min(ROTATION_S, 0.6 * grace_s)
         self._gateway.ends_by = started + grace_s
@@ -261,7 +213,7 @@
             task.cancel()
         self._controller.close()
         self._gateway.close()
-        self._link.close()
+        self._exchange.close()
         self._orders.close()
         self._store.close()
         for page in self._pages:
@@ -312,96 +264,16 @@
             self._loop.time,
         )
 
-    # Relay of what this VM has read, while it is the controller.
-
     def _relay(
         self, topic: str, first: int, end: int, records: list[keyed_log.Record]
     ) -> None:
-        if not self._controller.leads or (not records and topic != SERVERS_TOPIC):
-            return
-        relayed = []
+        """Relay positions with each read of instances, and with each other change."""
         if topic == SERVERS_TOPIC:
-            relayed = [
-                vm_link.RelayedRecord(record.offset, record.key, record.value)
-                for record in records
-                if record.offset in self._changing
-            ]
+            changing = [one for one in records if one.offset in self._changing]
             self._changing.clear()
-        ends = {
-            name: follower.next
-            for name, follower in self._follower_by_topic.items()
-            if follower.next is not None
-        }
-        newest = (self._view.key_map.term, self._view.key_map.number)
-        vm = self._settings.vm
-        message = vm_link.Relay(vm, ends, topic, first, relayed, *newest)
-        if not self._send_to_all(message):
-            # Too many changes for a packet; receivers read them themselves.
-            self._send_to_all(vm_link.Relay(vm, ends, topic, end, [], *newest))
-
-    def _send_to_all(self, message: vm_link.Message) -> bool:
-        """Send a message to all other VMs; return False if it is too large."""
-        return all(
-            [
-                self._link.send(message, address)
-                for vm, address in self._address_by_vm.items()
-                if vm != self._settings.vm
-            ]
-        )
-
-    def _on_message(self, message: vm_link.Message, sender: vm_link.Address) -> None:
-        if isinstance(message, vm_link.KeyReport):
-            self._loads.on_report(message.counts_by_service, self._now_ms())
-            return
-        if self._controller.leads:
-            return
-        if isinstance(message, vm_link.Moving):
-            self._settling_until = self._loop.time() + SETTLING_S
-            moving = [view.MovingRange(*one) for one in message.ranges]
-            self._view.on_moving(moving, self._now_ms() + message.pause_ms)
-            return
-        if isinstance(message, vm_link.Settled):
-            settled = [key_leases.KeyRange(*one) for one in message.ranges]
-            self._view.on_settled(
-                message.term, message.number, message.service, settled
-            )
-            self._gateway.on_owners_changed()
-            return
-        if isinstance(message, vm_link.Shares):
-            self._view.on_shares(message.share_by_instance, self._now_ms())
-            return
-        self._controller_address = sender
-        for topic, end in message.end_by_topic.items():
-            follower = self._follower_by_topic.get(topic)
-            if follower is None:
-                continue
-            if topic == message.topic and topic == SERVERS_TOPIC:
-                records = [
-                    keyed_log.Record(one.offset, one.key, one.value)
-                    for one in message.records
-                ]
-                follower.on_relay(message.first, end, records)
-            elif topic == LEDGER_TOPIC:
-                self._on_ledger_relay(follower, end, message)
-            elif topic != SERVERS_TOPIC:
-                follower.on_relay(end, end, [])
-
-    def _on_ledger_relay(
-        self, follower: keyed_log.TopicFollower, end: int, message: vm_link.Relay
-    ) -> None:
-        """Read the ledger only if the controller's messages did not tell all of it."""
-        known = (self._view.key_map.term, self._view.key_map.number)
-        if known == (message.key_term, message.key_number):
-            follower.on_relay(0, end, [])
-        elif self._loop.time() >= self._settling_until:
-            follower.on_relay(end, end, [])
-
-    def _report_keys(self) -> None:
-        counts = self._loads.take_unreported()
-        if self._controller.leads or self._controller_address is None or not counts:
-            return
-        message = vm_link.KeyReport(self._settings.vm, counts)
-        self._link.send(message, self._controller_address)
+            self._exchange.relay(topic, first, end, changing)
+        elif records:
+            self._exchange.relay(topic, end, end, [])
 
     # Desired state.
 
@@ -483,7 +355,7 @@
         self._directory.on_contact(self._now_ms())
 
     def _on_outage(self, reason: str) -> None:
-        self._directory.on_outage()
+        self._directory.on_outage(self._now_ms())
 
     # Keys.
 
@@ -506,31 +378,6 @@
         if self._view.on_map(key_map):
             self._gateway.on_owners_changed()
 
-    def _on_moving(self, ranges: list[view.MovingRange], pause_ms: float) -> None:
-        self._view.on_moving(ranges, self._now_ms() + pause_ms)
-        rows = [(one.service, one.first, one.last) for one in ranges]
-        self._send_to_all(vm_link.Moving(self._settings.vm, rows, pause_ms))
-
-    def _on_settled(
-        self,
-        term: int,
-        number: int,
-        service: str,
-        settled: list[key_leases.KeyRange],
-    ) -> None:
-        self._view.on_settled(term, number, service, settled)
-        self._gateway.on_owners_changed()
-        rows = [(one.first, one.last, one.instance, one.born) for one in settled]
-        self._send_to_all(
-            vm_link.Settled(self._settings.vm, term, number, service, rows)
-        )
-
-    def _on_shares(self, share_by_instance: dict[str, float]) -> None:
-        self._view.on_shares(share_by_instance, self._now_ms())
-        if share_by_instance or self._shares_sent:
-            self._send_to_all(vm_link.Shares(self._settings.vm, share_by_instance))
-        self._shares_sent = bool(share_by_instance)
-
     def _owner(self, service: str, key: int) -> view.Holder:
         return self._view.find(service, key, self._now_ms())
 
@@ -540,7 +387,7 @@
         services = self._state.service_by_name.values()
         return [service.name for service in services if service.divided]
 
-    async def _read_ledger(self) -> controller.Ledger | None:
+    async def _read_ledger(self) -> holds.Ledger | None:
         listing = await self._store.newest(LEDGER_TOPIC)
         if isinstance(listing, keyed_log.Unavailable):
             return None
@@ -551,58 +398,23 @@
                 # A record was added between the row and the end of this page.
                 return None
             try:
-                return controller.Ledger(key_leases.decode(record.value), listing.end)
+                return holds.Ledger(key_leases.decode(record.value), listing.end)
             except msgspec.DecodeError as error:
                 events.emit(
                     203, topic=LEDGER_TOPIC, offset=record.offset, error=str(error)
                 )
                 return None
-        return controller.Ledger(key_leases.EMPTY, listing.end)
+        return holds.Ledger(key_leases.EMPTY, listing.end)
 
     async def _append_ledger(
         self, key_map: key_leases.KeyMap, at: int
-    ) -> controller.AppendResult:
+    ) -> holds.AppendResult:
         data = key_leases.encode(key_map)
         return await self._store.append(LEDGER_TOPIC, LEDGER_KEY, data, at)
 
-    # Membership.
-
     def _on_vms_listing(self, records: Sequence[keyed_log.Record]) -> None:
         for record in records:
-            self._on_vm_record(record)
-
-    def _on_vm_record(self, record: keyed_log.Record) -> None:
-        host, _, port = (record.value or b"").decode("ascii", "replace").partition(":")
-        if port.isdigit():
-            self._address_by_vm[record.key] = (host, int(port))
-        elif record.key != self._settings.vm:
-            self._address_by_vm.pop(record.key, None)
-
-    async def _keep_membership(self) -> None:
-        vm = self._settings.vm
-        link = self._settings.link
-        where = f"{link.host}:{link.port}".encode()
-        while await self._store.append(VMS_TOPIC, vm, where) != "done":
-            await asyncio.sleep(JOIN_INTERVAL_S)
-        least_ttl_s = self._settings.group_ttl_ms / SECOND_MS
-        while not self._stopping:
-            idle = self._generation > 0 and not self._parts
-            if self.is_ready():
-                await self._join(
-                    vm, max(least_ttl_s, IDLE_TTL_S if idle else GROUP_TTL_S)
-                )
-            await asyncio.sleep(IDLE_JOIN_INTERVAL_S if idle else JOIN_INTERVAL_S)
-
-    async def _join(self, vm: str, ttl_s: float) -> None:
-        sent_at = _boot_ms()
-        joined = await self._store.join(GROUP, vm, GROUP_TOPIC, ttl_s, self._generation)
-        if isinstance(joined, keyed_log.Unavailable) or self._stopping:
-            return
-        self._generation, self._parts = joined.generation, joined.parts
-        if LEADER_PART in joined.parts:
-            self._controller.on_leader(sent_at)
-        else:
-            self._controller.on_other_named()
+            self._exchange.on_vm(record)
 
     async def _tick(self) -> None:
         reported_at = self._loop.time()
@@ -615,4 +427,4 @@
             await asyncio.sleep(TICK_S)
             self._directory.tick(self._now_ms())
             self._gateway.pool.close_expired(self._loop.time())
-            self._report_keys()
+            self._exchange.report_keys()
--- a/src/wasabivalve/platform/grants.py
+++ b/src/wasabivalve/platform/grants.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from wasabivalve.gateway import messages, upstream_connection
-from wasabivalve.key_leases import controller
+from wasabivalve.key_leases import holds
 from wasabivalve.placement import core as placement
 
 CONNECT_TIMEOUT_S = 0.4
@@ -34,7 +34,7 @@
         hold_s: float,
         handover: str | None,
         timeout_ms: float,
-    ) -> controller.GrantResult:
+    ) -> holds.GrantResult:
         """Grant a range, or renew the grant of the same token."""
         # ``fence`` is the fencing token; ``target`` the last key of the range.
         body: dict[str, object] = {
@@ -61,14 +61,14 @@
         last: int,
         token: int,
         timeout_ms: float,
-    ) -> controller.Released | None:
+    ) -> holds.Released | None:
         """Take a range back; the answer comes once the work on it has ended."""
         body: dict[str, object] = {"from": first, "target": last, "fence": token}
         answer = await self._call(instance, b"/api/release", body, timeout_ms)
         if not isinstance(answer, messages.Answer) or answer.status != 200:
             return None
         value = answer.header(b"handover")
-        return controller.Released(value.decode("latin-1") if value else None)
+        return holds.Released(value.decode("latin-1") if value else None)
 
     async def _call(
         self,
--- /dev/null
+++ b/src/wasabivalve/platform/membership.py
@@ -0,0 +1,77 @@
+"""Register this VM at the store and keep it a member of the controllers' group."""
+
+import asyncio
+from collections.abc import Callable
+
+from wasabivalve.key_leases import controller
+from wasabivalve.keyed_log import core as keyed_log
+
+from . import settings, store
+
+VMS_TOPIC = "keyed.wasabivalve.vms"
+GROUP = "wasabivalve.controller"
+GROUP_TOPIC = "wasabivalve.controller"
+LEADER_PART = 0
+"""The VM that holds this partition of the group's topic is the controller."""
+
+JOIN_INTERVAL_S = 0.6
+GROUP_TTL_S = 1.6
+"""Time without a call after which another VM becomes the controller."""
+
+IDLE_JOIN_INTERVAL_S = 1.2
+IDLE_TTL_S = 3.5
+"""The same for VMs without a partition, of which large deployments have many."""
+
+SECOND_MS = 1000.0
+
+
+class Membership:
+    """Hold what the group last told this VM."""
+
+    def __init__(
+        self,
+        loaded: settings.Settings,
+        client: store.Store,
+        key_controller: controller.Controller,
+        is_ready: Callable[[], bool],
+        boot_ms: Callable[[], float],
+    ) -> None:
+        self._settings = loaded
+        self._store = client
+        self._controller = key_controller
+        self._is_ready = is_ready
+        self._boot_ms = boot_ms
+        self._generation = 0
+        self._parts: frozenset[int] = frozenset()
+        self._left = False
+
+    async def run(self) -> None:
+        """Register, then join again and again; a VM that is not ready stays out."""
+        vm = self._settings.vm
+        link = self._settings.link
+        where = f"{link.host}:{link.port}".encode()
+        while await self._store.append(VMS_TOPIC, vm, where) != "done":
+            await asyncio.sleep(JOIN_INTERVAL_S)
+        least_ttl_s = self._settings.group_ttl_ms / SECOND_MS
+        while not self._left:
+            idle = self._generation > 0 and not self._parts
+            if self._is_ready():
+                ttl_s = IDLE_TTL_S if idle else GROUP_TTL_S
+                await self._join(vm, max(least_ttl_s, ttl_s))
+            await asyncio.sleep(IDLE_JOIN_INTERVAL_S if idle else JOIN_INTERVAL_S)
+
+    async def leave(self) -> None:
+        """Leave the group, so that another VM is named at once."""
+        self._left = True
+        await self._store.leave(GROUP, self._settings.vm)
+
+    async def _join(self, vm: str, ttl_s: float) -> None:
+        sent_at = self._boot_ms()
+        joined = await self._store.join(GROUP, vm, GROUP_TOPIC, ttl_s, self._generation)
+        if isinstance(joined, keyed_log.Unavailable) or self._left:
+            return
+        self._generation, self._parts = joined.generation, joined.parts
+        if LEADER_PART in joined.parts:
+            self._controller.on_leader(sent_at)
+        else:
+            self._controller.on_other_named()
