--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -19,6 +19,7 @@
 """Time for a release, which ends when the work on the keys has ended."""
 
 RELEASE_TRIES = 3
+"""Tries of a release; two unanswered calls in a row are rare, three very rare."""
 
 LOST_AFTER_MS = 900.0
 """Renewals that fail for this long make an instance count as lost."""
@@ -33,6 +34,8 @@
 """
 
 TICK_MS = 100.0
+"""Interval of looking for what is due; a small part of a renewal's interval."""
+
 BALANCE_INTERVAL_MS = 600.0
 """Interval of moves for balance; the load of a range takes about as long to show."""
 
--- a/src/wasabivalve/key_leases/planning.py
+++ b/src/wasabivalve/key_leases/planning.py
@@ -29,6 +29,7 @@
 """Load over capacity from which requests are refused; both are estimates."""
 
 LEAST_SHARE = 0.1
+"""Share that an overloaded instance gets in any case, as estimates may be wrong."""
 
 
 class Pressure(NamedTuple):
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -37,11 +37,17 @@
 """Desired states must be in force within 2.5 s, also if a connection went silent."""
 
 LEDGER_WAIT_S = 2.0
+"""Changes of holders come by messages too; this only bounds a silent connection."""
+
 VMS_INTERVAL_S = 1.5
 """The controller relays to the VMs that it knows; until then each reads by itself."""
 
 CALL_REPORT_S = 10.0
+"""Interval of the log line with the calls to the store."""
+
 TICK_S = 0.3
+"""Interval of reports of keys to the controller and of closing idle connections."""
+
 SECOND_MS = 1000.0
 
 EXIT_RESERVE_MS = 700.0
--- a/src/wasabivalve/platform/grants.py
+++ b/src/wasabivalve/platform/grants.py
@@ -9,6 +9,8 @@
 from wasabivalve.placement import core as placement
 
 CONNECT_TIMEOUT_S = 0.4
+"""Time for a new connection; a round trip between regions takes 40 ms."""
+
 IDLE_TRUST_S = 4.0
 """Renewals use a connection about once a second; one idle for longer is replaced."""
 
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -23,12 +23,13 @@
 store takes up to 60 times its 4 ms."""
 
 MOST_IDLE_CONNECTIONS = 4
+"""As many as there are topics to follow."""
+
 IDLE_TRUST_S = 3.0
 """A connection that was idle for longer is replaced; it may have gone silent."""
 
 LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
-READ_KB = 1024
 
 AppendResult = Literal["done", "moved", "refused", "unknown"]
 """A refused append was certainly not done."""
@@ -37,6 +38,7 @@
 """Time for an append; a store that is slowed 60 times answers within 0.3 s."""
 
 REFUSING_STATUSES = frozenset({409, 413, 429, 503, 507})
+"""Answers to an append that state that nothing was done."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wasabivalve/platform/tests/test_entry_vm.py
+++ b/src/wasabivalve/platform/tests/test_entry_vm.py
@@ -294,3 +294,37 @@
             await other.close()
 
     play(scenario)
+
+
+def test_stopping_controller_renews_while_the_store_is_away():
+    """No other VM can take over during an outage, and keys lapse after 4 s."""
+
+    async def scenario(store, plain, keyed, loaded, vm):
+        store.put("keyed.op", "config", operator_state(3))
+
+        async def served():
+            answer = await ask(loaded.callers, "/keyed/x", "Shard-Key: 77\r\n")
+            return answer == (200, b"done")
+
+        await until(served)
+        store.refusing = True
+        # A request in work keeps the VM from ending before its grace time.
+        release = asyncio.Event()
+
+        async def wait(request):
+            await release.wait()
+            return plain.success(request)
+
+        plain.behaviour["/plain/slow"] = wait
+        slow = asyncio.create_task(ask(loaded.callers, "/plain/slow"))
+        await asyncio.sleep(0.1)
+        stop = asyncio.create_task(vm.close())
+        await asyncio.sleep(0.05)
+        before = len(keyed.grants)
+        await asyncio.sleep(1.25)
+        renewed = len(keyed.grants) > before
+        release.set()
+        await asyncio.gather(stop, slow)
+        assert renewed
+
+    play(scenario)
