Choose test ports that connections cannot take meanwhile

Change: all ports of a VM are reserved at once, below the ephemeral range, by a generator that is not seeded. Conclusion: a fault of the test, not of the product.

--- a/src/wasabivalve/platform/tests/test_entry_vm.py
+++ b/src/wasabivalve/platform/tests/test_entry_vm.py
@@ -3,6 +3,7 @@
 import asyncio
 import importlib.util
 import pathlib
+import random
 import socket
 
 import msgspec
@@ -25,14 +26,27 @@
 instance_stand_in = load_stand_in("instance_stand_in")
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_ports(count):
+    """Return different free ports below those that the kernel gives to connections."""
+    probes = []
+    for port in random.SystemRandom().sample(range(20_000, 32_000), 1_000):
+        probe = socket.socket()
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            probe.close()
+            continue
+        probes.append(probe)
+        if len(probes) == count:
+            break
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
 
 
 def build_settings(name, store_port):
-    local = [settings.Address("127.0.0.1", free_port()) for _ in range(4)]
+    local = [settings.Address("127.0.0.1", port) for port in free_ports(4)]
     return settings.Settings(
         vm=name,
         data_centre="east",
