--- a/src/wasabivalve/gateway/work.py
+++ b/src/wasabivalve/gateway/work.py
@@ -25,7 +25,6 @@
         self.service = service
         self.request_id = request_id
         self.key = key
-        self.time_left_s = time_left_s
         self.end_at = request.received_at + min(time_left_s, route.timeout_ms / 1000.0)
         self.urgent = True
         self.admitted = False
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -6,11 +6,12 @@
 import dataclasses
 import struct
 import urllib.parse
-from typing import Any, Literal
+from typing import Any
 
 import msgspec
 
 from wasabivalve.gateway import messages, upstream_connection
+from wasabivalve.key_leases import holds
 from wasabivalve.keyed_log import core as keyed_log
 
 from . import settings
@@ -31,9 +32,6 @@
 LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
 
-AppendResult = Literal["done", "moved", "refused", "unknown"]
-"""A refused append was certainly not done."""
-
 APPEND_TIMEOUT_S = 0.6
 """Time for an append; a store that is slowed 60 times answers within 0.3 s."""
 
@@ -107,7 +105,7 @@
 
     async def append(
         self, topic: str, key: str, value: bytes | None, at: int | None = None
-    ) -> AppendResult:
+    ) -> holds.AppendResult:
         """Append a keyed record, if ``at`` is given only at this end of the topic.
 
         ``unknown`` means that it may be done now or seconds later.
--- a/src/wasabivalve/platform/tests/test_entry_vm.py
+++ b/src/wasabivalve/platform/tests/test_entry_vm.py
@@ -136,6 +136,15 @@
             await asyncio.sleep(0.05)
 
 
+def serves(loaded, path, headers=""):
+    """Return a coroutine function that tells whether a VM answers a request."""
+
+    async def served():
+        return await ask(loaded.callers, path, headers) == (200, b"done")
+
+    return served
+
+
 def play(scenario):
     async def main():
         store = store_stand_in.StoreStandIn()
@@ -184,10 +193,7 @@
     async def scenario(store, plain, keyed, loaded, vm):
         store.put("keyed.op", "config", operator_state(3))
 
-        async def served():
-            answer = await ask(loaded.callers, "/keyed/x", "Shard-Key: 77\r\n")
-            return answer == (200, b"done")
-
+        served = serves(loaded, "/keyed/x", "Shard-Key: 77\r\n")
         await until(served)
         first = keyed.grants[0]
         assert (first["from"], first["target"]) == (0, 65_535)
@@ -202,9 +208,7 @@
     async def scenario(store, plain, keyed, loaded, vm):
         store.put("keyed.op", "config", operator_state(3))
 
-        async def served():
-            return await ask(loaded.callers, "/plain/x") == (200, b"done")
-
+        served = serves(loaded, "/plain/x")
         await until(served)
         store.put("keyed.op", "config", b"{")
         store.put("keyed.op", "config", operator_state(2))
@@ -222,9 +226,7 @@
     async def scenario(store, plain, keyed, loaded, vm):
         store.put("keyed.op", "config", operator_state(3))
 
-        async def served():
-            return await ask(loaded.callers, "/plain/x") == (200, b"done")
-
+        served = serves(loaded, "/plain/x")
         await until(served)
         leaving = entry(plain, state="draining", sequence=2)
         store.put("keyed.servers", "i-plain", leaving)
@@ -246,9 +248,7 @@
     async def scenario(store, plain, keyed, loaded, vm):
         store.put("keyed.op", "config", operator_state(3))
 
-        async def served():
-            return await ask(loaded.callers, "/plain/x") == (200, b"done")
-
+        served = serves(loaded, "/plain/x")
         await until(served)
         store.refusing = True
         await asyncio.sleep(1.5)
@@ -264,9 +264,7 @@
     async def scenario(store, plain, keyed, loaded, vm):
         store.put("keyed.op", "config", operator_state(3))
 
-        async def served():
-            return await ask(loaded.callers, "/plain/x") == (200, b"done")
-
+        served = serves(loaded, "/plain/x")
         await until(served)
         _, text = await ask(loaded.metrics, "/metrics")
         assert b'wasabivalve_request_done_total{kind="200"}' in text
@@ -316,10 +314,7 @@
     async def scenario(store, plain, keyed, loaded, vm):
         store.put("keyed.op", "config", operator_state(3))
 
-        async def served():
-            answer = await ask(loaded.callers, "/keyed/x", "Shard-Key: 77\r\n")
-            return answer == (200, b"done")
-
+        served = serves(loaded, "/keyed/x", "Shard-Key: 77\r\n")
         await until(served)
         store.refusing = True
         # A request in work keeps the VM from ending before its grace time.
