Renew keys on a stopping controller until another VM has claimed them

Cause: on SIGTERM a controller dropped its term at once. Change: a stopping controller counts as no longer named and renews until a later term is claimed or its grace time ends; leaving the group is retried until the store has done it; VMs whose join failed join again after 0.6 s, not 1.2 s.

--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -202,7 +202,8 @@
         started = self._loop.time()
         events.emit(2, vm=self._settings.vm, in_work=self._gateway.busy)
         self._stopping = self._gateway.stopping = True
-        self._controller.on_follower("this VM stops")
+        # Keys need renewals until another VM has claimed them, which an outage delays.
+        self._controller.on_other_named()
         leave = self._loop.create_task(self._membership.leave())
         grace_s = (self._settings.grace_ms - EXIT_RESERVE_MS) / SECOND_MS
         rotation_s = min(ROTATION_S, 0.6 * grace_s)
@@ -212,7 +213,7 @@
         self._gateway.stop_listening()
         while self._loop.time() < started + grace_s:
             self._gateway.close_idle_callers()
-            if not self._gateway.busy:
+            if not self._gateway.busy and not self._controller.leads:
                 break
             await asyncio.sleep(0.05)
         for task in (leave, *self._tasks):
--- a/src/wasabivalve/platform/membership.py
+++ b/src/wasabivalve/platform/membership.py
@@ -18,6 +18,9 @@
 GROUP_TTL_S = 1.6
 """Time without a call after which another VM becomes the controller."""
 
+LEAVE_RETRY_S = 0.3
+"""Pause between attempts to leave; a few fit into the grace time of a stop."""
+
 IDLE_JOIN_INTERVAL_S = 1.2
 IDLE_TTL_S = 3.5
 """The same for VMs without a partition, of which large deployments have many."""
@@ -55,23 +58,31 @@
         least_ttl_s = self._settings.group_ttl_ms / SECOND_MS
         while not self._left:
             idle = self._generation > 0 and not self._parts
+            answered = True
             if self._is_ready():
                 ttl_s = IDLE_TTL_S if idle else GROUP_TTL_S
-                await self._join(vm, max(least_ttl_s, ttl_s))
-            await asyncio.sleep(IDLE_JOIN_INTERVAL_S if idle else JOIN_INTERVAL_S)
+                answered = await self._join(vm, max(least_ttl_s, ttl_s))
+            # After an outage the controller may be gone: then its successor is urgent.
+            relaxed = idle and answered
+            await asyncio.sleep(IDLE_JOIN_INTERVAL_S if relaxed else JOIN_INTERVAL_S)
 
     async def leave(self) -> None:
-        """Leave the group, so that another VM is named at once."""
+        """Leave the group, so that another VM is named at once; retry until answered."""
         self._left = True
-        await self._store.leave(GROUP, self._settings.vm)
+        while not await self._store.leave(GROUP, self._settings.vm):
+            await asyncio.sleep(LEAVE_RETRY_S)
 
-    async def _join(self, vm: str, ttl_s: float) -> None:
+    async def _join(self, vm: str, ttl_s: float) -> bool:
+        """Join the group; return whether the store answered."""
         sent_at = self._boot_ms()
         joined = await self._store.join(GROUP, vm, GROUP_TOPIC, ttl_s, self._generation)
-        if isinstance(joined, keyed_log.Unavailable) or self._left:
-            return
+        if isinstance(joined, keyed_log.Unavailable):
+            return False
+        if self._left:
+            return True
         self._generation, self._parts = joined.generation, joined.parts
         if LEADER_PART in joined.parts:
             self._controller.on_leader(sent_at)
         else:
             self._controller.on_other_named()
+        return True
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -151,10 +151,11 @@
         except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
             return keyed_log.Unavailable(f"unreadable answer: {error!r}")
 
-    async def leave(self, group: str, member: str) -> None:
-        """Take a member out of a group; without an answer its time limit does."""
+    async def leave(self, group: str, member: str) -> bool:
+        """Take a member out of a group; return whether the store has done it."""
         body = msgspec.json.encode({"group": group, "member": member})
-        await self._call("POST", "log-leave", {}, body, json=True)
+        answer = await self._call("POST", "log-leave", {}, body, json=True)
+        return isinstance(answer, messages.Answer) and answer.status == 200
 
     async def _call(
         self,
