--- a/src/wasabivalve/platform/membership.py
+++ b/src/wasabivalve/platform/membership.py
@@ -67,7 +67,7 @@
             await asyncio.sleep(IDLE_JOIN_INTERVAL_S if relaxed else JOIN_INTERVAL_S)
 
     async def leave(self) -> None:
-        """Leave the group, so that another VM is named at once; retry until answered."""
+        """Leave the group, so that another VM is named; retry until answered."""
         self._left = True
         while not await self._store.leave(GROUP, self._settings.vm):
             await asyncio.sleep(LEAVE_RETRY_S)
