Read the store once a region: copies of the desired state, relays by region

Change: vm_link.roster orders the VMs of a region by link; the first ones read a document and the others copy it compressed (vm_link.copies); they also relay to their region while the controller is silent; relays of many changes are split into packets.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -13,9 +13,8 @@
 
 import click
 
-from wasabivalve import ownership
+from wasabivalve import ownership, rendezvous
 from wasabivalve.ownership import balance, hot_keys, key_ranges, load_meter
-from wasabivalve.routing import rendezvous
 
 STEP_MS = 10_000
 SLOT_STEPS = 24
--- a/src/wasabivalve/deduplication/holders.py
+++ b/src/wasabivalve/deduplication/holders.py
@@ -3,7 +3,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from wasabivalve.routing import places, rendezvous
+from wasabivalve import rendezvous
+from wasabivalve.routing import places
 
 HOLDERS = 3
 """Copies of a record; a majority of them decides, so one may be lost."""
--- a/src/wasabivalve/entry/shards.py
+++ b/src/wasabivalve/entry/shards.py
@@ -10,11 +10,11 @@
     ownership,
     peers,
     platform_log,
+    rendezvous,
     resources,
     routing,
 )
 from wasabivalve.ownership import controller, decisions, promises, replay
-from wasabivalve.routing import rendezvous
 from wasabivalve.schema import messages_generated
 
 from . import (
--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -14,6 +14,8 @@
     (101, "INFO", "peer is live"),
     (102, "WARNING", "peer is suspected"),
     (103, "WARNING", "datagram did not reach its VM"),
+    (104, "WARNING", "no copy of a document from another VM"),
+    (105, "INFO", "this VM relays to its region"),
     # Log, 200 to 299.
     (200, "WARNING", "log service is unavailable"),
     (201, "INFO", "log service is available again"),
--- /dev/null
+++ b/src/wasabivalve/gateway/pages.py
@@ -0,0 +1,51 @@
+"""Serve the pages of a process: readiness, metrics, copies for other VMs."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from wasabivalve.desired_state import core as desired_state
+
+from . import caller_connection, messages
+
+Handler = Callable[[messages.Request], Coroutine[Any, Any, messages.Answer]]
+
+
+class _PageFront:
+    """Answer every request by one handler."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.stopping = False
+        self.handle = handler
+
+    def limits(self) -> desired_state.CallerLimits:
+        """Return limits that do not depend on the desired state."""
+        return caller_connection.DEFAULT_LIMITS
+
+    def on_open(self, connection: caller_connection.CallerConnection) -> None:
+        """Do nothing; these connections need no drain."""
+
+    def on_closed(self, connection: caller_connection.CallerConnection) -> None:
+        """Do nothing."""
+
+
+def page(path: str, render: Callable[[], messages.Answer]) -> Handler:
+    """Return a handler that renders one path."""
+
+    async def handle(request: messages.Request) -> messages.Answer:
+        if request.path != path:
+            return messages.own_answer(404, "there is nothing here")
+        return render()
+
+    return handle
+
+
+async def serve(host: str, port: int, handler: Handler) -> asyncio.Server:
+    """Listen on an address and answer all requests by a handler."""
+    front = _PageFront(handler)
+    return await asyncio.get_running_loop().create_server(
+        lambda: caller_connection.CallerConnection(front),
+        host,
+        port,
+        reuse_address=True,
+    )
--- a/src/wasabivalve/keyed_log/core.py
+++ b/src/wasabivalve/keyed_log/core.py
@@ -133,10 +133,17 @@
         # A step without a pause must still let others run.
         await asyncio.sleep(0.0)
 
-    def on_relay(self, first: int, end: int, records: list[Record]) -> None:
+    def on_relay(
+        self,
+        first: int,
+        end: int,
+        records: list[Record],
+        trust_s: float = RELAY_TRUST_S,
+    ) -> None:
         """Take in how far another VM has read, with the records that matter.
 
-        ``records`` are complete from ``first`` to ``end``.
+        ``records`` are complete from ``first`` to ``end``; for ``trust_s`` the store
+        is asked nothing.
         """
         if self._next is None or end < self._next:
             return
@@ -146,7 +153,7 @@
                     self._handlers.on_record(record)
             self._next = end
             self._behind = False
-            self._relayed_until = self._clock() + RELAY_TRUST_S
+            self._relayed_until = self._clock() + trust_s
             self._handlers.on_contact()
         else:
             self._behind = True
--- a/src/wasabivalve/ownership/assignments.py
+++ b/src/wasabivalve/ownership/assignments.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from ..routing import rendezvous
+from wasabivalve import rendezvous
+
 from ..schema import records_generated
 from . import decisions, key_ranges, range_lists, replay, tenure
 
--- a/src/wasabivalve/ownership/key_ranges.py
+++ b/src/wasabivalve/ownership/key_ranges.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from wasabivalve.routing import rendezvous
+from wasabivalve import rendezvous
 
 from . import successors
 
--- a/src/wasabivalve/ownership/successors.py
+++ b/src/wasabivalve/ownership/successors.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Protocol
 
-from wasabivalve.routing import rendezvous
+from wasabivalve import rendezvous
 
 
 class Listed(Protocol):
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -4,23 +4,23 @@
 import pathlib
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import msgspec
 
 from wasabivalve import events
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.gateway import core as gateway
-from wasabivalve.gateway import messages, rooms
+from wasabivalve.gateway import messages, pages, rooms
 from wasabivalve.key_leases import controller, holds, key_loads, view
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.placement import core as placement
 from wasabivalve.placement import directory
-from wasabivalve.vm_link import exchange
+from wasabivalve.vm_link import copies, exchange, roster
 
 from . import desired_state as desired_state_decoder
-from . import grants, headers, instances, membership, pages, settings, store
+from . import grants, headers, instances, membership, settings, store
 
 OPERATOR_TOPIC = "keyed.op"
 OPERATOR_KEY = "config"
@@ -78,9 +78,12 @@
         self._listed = False
         self._stopping = False
         self._loads = key_loads.KeyLoads()
+        places = placement.Places(loaded.data_centre, loaded.region_by_data_centre)
+        vms = roster.Roster(loaded.vm, loaded.vm_entry, places)
+        self._copies = copies.Copies(vms.sources_to_ask)
         self._exchange = exchange.Exchange(
             loaded.vm,
-            loaded.link,
+            vms,
             exchange.Topics(SERVERS_TOPIC, LEDGER_TOPIC),
             self._view,
             self._loads,
@@ -88,7 +91,6 @@
             lambda: self._gateway.on_owners_changed(),
         )
         self._directory = directory.InstanceDirectory(self._on_instance)
-        places = placement.Places(loaded.data_centre, loaded.region_by_data_centre)
         self._gateway = gateway.Gateway(
             headers.DIALECT,
             places,
@@ -99,7 +101,7 @@
                 self._instances,
                 self._owner,
                 lambda instance: self._view.admits(instance, self._now_ms()),
-                lambda: len(self._exchange.address_by_vm),
+                lambda: len(vms.entry_by_vm),
                 lambda service, key: self._loads.on_key(service, key, self._now_ms()),
             ),
         )
@@ -137,14 +139,15 @@
 
     async def start(self) -> None:
         """Listen and follow the store."""
-        callers = self._settings.callers
+        callers, link = self._settings.callers, self._settings.link
         await self._gateway.start(callers.host, callers.port)
+        readiness = pages.page(READINESS_PATH, self._readiness_page)
+        metrics = pages.page(METRICS_PATH, self._metrics_page)
         self._pages = [
-            await pages.serve(
-                self._settings.readiness, READINESS_PATH, self._readiness_page
-            ),
-            await pages.serve(self._settings.metrics, METRICS_PATH, self._metrics_page),
+            await pages.serve(*self._settings.readiness, readiness),
+            await pages.serve(*self._settings.metrics, metrics),
         ]
+        await self._copies.start(link.host, link.port)
         await self._exchange.start()
         self._controller.start()
         followers = (
@@ -154,6 +157,7 @@
                 self._on_operator_record,
                 0.0,
                 STATE_WAIT_S,
+                self._copies.fetch,
             ),
             self._follower(
                 SERVERS_TOPIC,
@@ -221,6 +225,7 @@
         self._controller.close()
         self._gateway.close()
         self._exchange.close()
+        self._copies.close()
         self._orders.close()
         self._store.close()
         for page in self._pages:
@@ -246,6 +251,7 @@
         on_record: Callable[[keyed_log.Record], None],
         interval_s: float,
         wait_s: float,
+        fetch: Callable[[int], Awaitable[keyed_log.Batch | None]] | None = None,
     ) -> keyed_log.TopicFollower:
         async def listing() -> keyed_log.Listing | keyed_log.Unavailable:
             return await self._store.newest(topic)
@@ -253,6 +259,11 @@
         async def read(
             offset: int, wait: float
         ) -> keyed_log.Batch | keyed_log.Trimmed | keyed_log.Unavailable:
+            # Without a wait there are records that another VM has read already.
+            if fetch is not None and wait == 0.0:
+                batch = await fetch(offset)
+                if batch is not None:
+                    return batch
             return await self._store.read(topic, offset, wait)
 
         def on_read(first: int, end: int, records: list[keyed_log.Record]) -> None:
@@ -299,6 +310,7 @@
         if self._state is not None and state.version <= self._state.version:
             return
         self._state = state
+        self._copies.put(record)
         self._gateway.set_state(state)
         events.emit(
             500, version=state.version, offset=record.offset, routes=len(state.routes)
--- a/src/wasabivalve/platform/membership.py
+++ b/src/wasabivalve/platform/membership.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from wasabivalve.key_leases import controller
 from wasabivalve.keyed_log import core as keyed_log
 
@@ -51,8 +53,7 @@
     async def run(self) -> None:
         """Register, then join again and again; a VM that is not ready stays out."""
         vm = self._settings.vm
-        link = self._settings.link
-        where = f"{link.host}:{link.port}".encode()
+        where = msgspec.json.encode(self._settings.vm_entry)
         while await self._store.append(VMS_TOPIC, vm, where) != "done":
             await asyncio.sleep(JOIN_INTERVAL_S)
         least_ttl_s = self._settings.group_ttl_ms / SECOND_MS
--- a/src/wasabivalve/platform/settings.py
+++ b/src/wasabivalve/platform/settings.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from wasabivalve import outcomes
+from wasabivalve.vm_link import roster
 
 VARIABLE = "WASABIVALVE_CONFIG"
 
@@ -33,6 +34,7 @@
     readiness: Address
     store: Address
     link: Address
+    link_mbps: float
     metrics: Address
     grace_ms: float
     repeat_share: float
@@ -41,6 +43,13 @@
     hold_max_ms: float
     group_ttl_ms: float
 
+    @property
+    def vm_entry(self) -> roster.VmEntry:
+        """Return what other VMs are told about this one."""
+        return roster.VmEntry(
+            self.link.host, self.link.port, self.data_centre, self.link_mbps
+        )
+
 
 class Rejected(NamedTuple):
     """List everything that is wrong with a settings file."""
@@ -135,6 +144,7 @@
         readiness=reader.address("listen.ready_address"),
         store=reader.address("platform.address"),
         link=Address(reader.value("ip", str) or "", reader.first_port()),
+        link_mbps=float(reader.value("limits.link_mbps", (int, float)) or 0.0),  # type: ignore[arg-type]
         metrics=Address(reader.value("ip", str) or "", reader.metrics_port()),
         grace_ms=1000.0 * bound("grace_s"),
         repeat_share=bound("retry_budget_ratio"),
--- a/src/wasabivalve/platform/tests/test_decoding.py
+++ b/src/wasabivalve/platform/tests/test_decoding.py
@@ -48,6 +48,8 @@
 [listen]
 front = "10.1.0.15:8641"
 ready_address = "10.1.0.15:8640"
+[limits]
+link_mbps = 1000.0
 [platform]
 address = "10.200.1.7:8642"
 ttl_min_s = 1
--- a/src/wasabivalve/platform/tests/test_entry_vm.py
+++ b/src/wasabivalve/platform/tests/test_entry_vm.py
@@ -55,6 +55,7 @@
         readiness=local[1],
         store=settings.Address("127.0.0.1", store_port),
         link=local[2],
+        link_mbps=100.0,
         metrics=local[3],
         grace_ms=2_000.0,
         repeat_share=0.2,
--- a/src/wasabivalve/quarantine/core.py
+++ b/src/wasabivalve/quarantine/core.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection
 from typing import Literal, NamedTuple
 
-from wasabivalve.routing import rendezvous
+from wasabivalve import rendezvous
 from wasabivalve.schema import messages_generated
 
 QUARANTINE_MS = 600_000.0
--- a/src/wasabivalve/quarantine/tests/test_quarantine.py
+++ b/src/wasabivalve/quarantine/tests/test_quarantine.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from wasabivalve import quarantine, routing
-from wasabivalve.routing import rendezvous
+from wasabivalve import quarantine, rendezvous, routing
 
 VMS = tuple(f"entry-{number}" for number in range(1, 10))
 NEAR = routing.Place("khomas-a", "khomas")
--- a/src/wasabivalve/routing/__init__.py
+++ b/src/wasabivalve/routing/__init__.py
@@ -1,6 +1,6 @@
 """Choice of owner, instance and dispatcher for a request."""
 
-from . import dispatcher, instances, owner_table, places, rendezvous
+from . import dispatcher, instances, owner_table, places
 from .dispatcher import dispatcher_of, rank_dispatchers
 from .instances import Observations, choose_instance
 from .owner_table import Owner, OwnerTable, find_problems, newest
@@ -20,5 +20,4 @@
     "owner_table",
     "places",
     "rank_dispatchers",
-    "rendezvous",
 ]
--- a/src/wasabivalve/routing/dispatcher.py
+++ b/src/wasabivalve/routing/dispatcher.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Mapping
 
-from . import places, rendezvous
+from wasabivalve import rendezvous
+
+from . import places
 
 
 def dispatcher_of(
--- a/src/wasabivalve/routing/instances.py
+++ b/src/wasabivalve/routing/instances.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
-from . import places, rendezvous
+from wasabivalve import rendezvous
+
+from . import places
 
 EWMA_WEIGHT = 0.2
 """Weight of the newest sample in a moving average."""
--- a/src/wasabivalve/vm_link/core.py
+++ b/src/wasabivalve/vm_link/core.py
@@ -27,13 +27,14 @@
 
 
 class Relay(msgspec.Struct, array_like=True, frozen=True, tag="relay"):
-    """State how far the controller has read each topic.
+    """State how far a VM has read each topic; ``leads`` if it is the controller.
 
     ``records`` are those of one topic from ``first`` to its end that change anything;
     ``key_term`` and ``key_number`` name the newest map of keys.
     """
 
     vm: str
+    leads: bool
     end_by_topic: dict[str, int]
     topic: str
     first: int
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -1,18 +1,37 @@
-"""Tell other VMs what the controller knows, and take in what it tells."""
+"""Tell other VMs what the controller knows, and take in what it tells.
+
+The controller relays to all VMs. While it is silent, the first VMs of each region relay
+to their region, so that not every VM asks the store.
+"""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
+import msgspec
+
+from wasabivalve import events
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.key_leases import key_loads, view
 from wasabivalve.keyed_log import core as keyed_log
 
-from . import core
+from . import core, roster
 
 SETTLING_S = 0.8
 """Time for which the controller's own message about moved keys is awaited."""
 
+STAGGER_S = 0.25
+"""Time by which a VM waits longer for relays than the one that relays before it.
+
+A call to the store and a relay fit in; with it, VMs still read within 2 s.
+"""
+
+RELAYED_BYTES = 900
+"""Size of the records in one relay; the rest of a packet is left for its positions."""
+
+RECORD_BYTES = 12
+"""Bytes of a relayed record beside its key and value."""
+
 SECOND_MS = 1000.0
 
 
@@ -29,14 +48,14 @@
     def __init__(
         self,
         vm: str,
-        address: core.Address,
+        vms: roster.Roster,
         topics: Topics,
         key_view: view.KeyView,
         loads: key_loads.KeyLoads,
         leads: Callable[[], bool],
         on_owners_changed: Callable[[], None],
     ) -> None:
-        self.address_by_vm: dict[str, core.Address] = {vm: address}
+        self.vms = vms
         self.follower_by_topic: Mapping[str, keyed_log.TopicFollower] = {}
         self._vm = vm
         self._topics = topics
@@ -49,10 +68,11 @@
         self._settling_until = 0.0
         self._shares_sent = False
         self._controller_address: core.Address | None = None
+        self._relaying = False
 
     async def start(self) -> None:
         """Receive on this VM's own address."""
-        await self._link.start(*self.address_by_vm[self._vm])
+        await self._link.start(*self.vms.entry_by_vm[self._vm].address)
 
     def close(self) -> None:
         """Close the socket."""
@@ -60,37 +80,56 @@
 
     def on_vm(self, record: keyed_log.Record) -> None:
         """Take in the registration of a VM, or its removal."""
-        host, _, port = (record.value or b"").decode("ascii", "replace").partition(":")
-        if port.isdigit():
-            self.address_by_vm[record.key] = (host, int(port))
-        elif record.key != self._vm:
-            self.address_by_vm.pop(record.key, None)
+        if not self.vms.on_record(record):
+            events.emit(100, sender=record.key[:40], size=len(record.value or b""))
 
     def relay(
         self, topic: str, first: int, end: int, records: list[keyed_log.Record]
     ) -> None:
-        """Tell how far this controller has read, with the records that matter."""
-        if not self._leads():
+        """Tell how far this VM has read, with the records that matter.
+
+        Only the controller and the first VMs of a region tell anyone.
+        """
+        if self._leads():
+            receivers = self.vms.others()
+        elif self.vms.rank < roster.RELAYING_VMS:
+            receivers = self.vms.region_others()
+        else:
             return
+        self._note_relaying()
         ends = {
             name: follower.next
             for name, follower in self.follower_by_topic.items()
             if follower.next is not None
         }
         newest = (self._view.key_map.term, self._view.key_map.number)
-        relayed = [
-            core.RelayedRecord(one.offset, one.key, one.value) for one in records
-        ]
-        message = core.Relay(self._vm, ends, topic, first, relayed, *newest)
-        if not self._send_to_all(message):
-            # Too many changes for a packet; receivers read them themselves.
-            self._send_to_all(core.Relay(self._vm, ends, topic, end, [], *newest))
+        for low, high, part in split_records(first, end, records):
+            message = core.Relay(
+                self._vm,
+                self._leads(),
+                {**ends, topic: high},
+                topic,
+                low,
+                part,
+                *newest,
+            )
+            if not self._send(message, receivers):
+                # A single record that is too large; receivers read it themselves.
+                message = msgspec.structs.replace(message, first=high, records=[])
+                self._send(message, receivers)
+
+    def _note_relaying(self) -> None:
+        """Log when this VM starts to stand in for a silent controller."""
+        relaying = not self._leads()
+        if relaying and not self._relaying:
+            events.emit(105, vm=self._vm, rank=self.vms.rank)
+        self._relaying = relaying
 
     def on_moving(self, ranges: list[view.MovingRange], pause_ms: float) -> None:
         """Announce ranges that have no holder for a time."""
         self._view.on_moving(ranges, self._now_ms() + pause_ms)
         rows = [(one.service, one.first, one.last) for one in ranges]
-        self._send_to_all(core.Moving(self._vm, rows, pause_ms))
+        self._send(core.Moving(self._vm, rows, pause_ms), self.vms.others())
 
     def on_settled(
         self, term: int, number: int, service: str, settled: list[key_leases.KeyRange]
@@ -99,13 +138,14 @@
         self._view.on_settled(term, number, service, settled)
         self._on_owners_changed()
         rows = [(one.first, one.last, one.instance, one.born) for one in settled]
-        self._send_to_all(core.Settled(self._vm, term, number, service, rows))
+        message = core.Settled(self._vm, term, number, service, rows)
+        self._send(message, self.vms.others())
 
     def on_shares(self, share_by_instance: dict[str, float]) -> None:
         """Announce what overloaded holders can serve, once more when none is left."""
         self._view.on_shares(share_by_instance, self._now_ms())
         if share_by_instance or self._shares_sent:
-            self._send_to_all(core.Shares(self._vm, share_by_instance))
+            self._send(core.Shares(self._vm, share_by_instance), self.vms.others())
         self._shares_sent = bool(share_by_instance)
 
     def report_keys(self) -> None:
@@ -117,15 +157,9 @@
     def _now_ms(self) -> float:
         return SECOND_MS * self._loop.time()
 
-    def _send_to_all(self, message: core.Message) -> bool:
-        """Send a message to all other VMs; return False if it is too large."""
-        return all(
-            [
-                self._link.send(message, address)
-                for vm, address in self.address_by_vm.items()
-                if vm != self._vm
-            ]
-        )
+    def _send(self, message: core.Message, receivers: Sequence[core.Address]) -> bool:
+        """Send a message to each receiver; return False if it is too large."""
+        return all([self._link.send(message, address) for address in receivers])
 
     def _on_message(self, message: core.Message, sender: core.Address) -> None:
         if isinstance(message, core.KeyReport):
@@ -146,10 +180,14 @@
         elif isinstance(message, core.Shares):
             self._view.on_shares(message.share_by_instance, self._now_ms())
         else:
-            self._controller_address = sender
+            if message.leads:
+                self._controller_address = sender
+            self._relaying = False
             self._on_relay(message)
 
     def _on_relay(self, message: core.Relay) -> None:
+        trust_s = keyed_log.RELAY_TRUST_S
+        trust_s += STAGGER_S * min(self.vms.rank, roster.RELAYING_VMS)
         for topic, end in message.end_by_topic.items():
             follower = self.follower_by_topic.get(topic)
             if follower is None:
@@ -160,18 +198,47 @@
                         keyed_log.Record(one.offset, one.key, one.value)
                         for one in message.records
                     ]
-                    follower.on_relay(message.first, end, records)
+                    follower.on_relay(message.first, end, records, trust_s)
             elif topic == self._topics.ledger:
-                self._on_ledger_relay(follower, end, message)
+                self._on_ledger_relay(follower, end, message, trust_s)
             else:
-                follower.on_relay(end, end, [])
+                follower.on_relay(end, end, [], trust_s)
 
     def _on_ledger_relay(
-        self, follower: keyed_log.TopicFollower, end: int, message: core.Relay
+        self,
+        follower: keyed_log.TopicFollower,
+        end: int,
+        message: core.Relay,
+        trust_s: float,
     ) -> None:
         """Read the ledger only if the controller's messages did not tell all of it."""
         known = (self._view.key_map.term, self._view.key_map.number)
         if known == (message.key_term, message.key_number):
-            follower.on_relay(0, end, [])
+            follower.on_relay(0, end, [], trust_s)
         elif self._loop.time() >= self._settling_until:
-            follower.on_relay(end, end, [])
+            follower.on_relay(end, end, [], trust_s)
+
+
+class RelayPart(NamedTuple):
+    """Hold the records of a topic from first to end that fit into one packet."""
+
+    first: int
+    end: int
+    records: list[core.RelayedRecord]
+
+
+def split_records(
+    first: int, end: int, records: Sequence[keyed_log.Record]
+) -> list[RelayPart]:
+    """Return parts that follow each other without a gap, at least one."""
+    parts: list[RelayPart] = []
+    low, size = first, 0
+    part: list[core.RelayedRecord] = []
+    for record in records:
+        length = len(record.key) + len(record.value or b"") + RECORD_BYTES
+        if part and size + length > RELAYED_BYTES:
+            parts.append(RelayPart(low, record.offset, part))
+            low, size, part = record.offset, 0, []
+        part.append(core.RelayedRecord(record.offset, record.key, record.value))
+        size += length
+    return [*parts, RelayPart(low, end, part)]
--- a/src/wasabivalve/vm_link/tests/test_messages.py
+++ b/src/wasabivalve/vm_link/tests/test_messages.py
@@ -7,7 +7,7 @@
 from wasabivalve.vm_link import core
 
 MESSAGES = [
-    core.Relay("vm", {"t": 4}, "t", 2, [core.RelayedRecord(3, "k", None)], 5, 6),
+    core.Relay("vm", True, {"t": 4}, "t", 2, [core.RelayedRecord(3, "k", None)], 5, 6),
     core.KeyReport("vm", {"desk": {7: 2}}),
     core.Moving("vm", [("desk", 1, 2)], 500.0),
     core.Shares("vm", {"i-1": 0.5}),
