Keep silent attempts running; answer all requests before a stop ends

Change: a second attempt runs beside a silent one, the first answer wins; a stopping gateway answers what is in work by the end of its time; a VM that starts takes the desired state from another VM of its region; calls to the store end after time without a byte, not after a total; followers await relays after their listing; four VMs of each region, those with the fastest links, join the controllers' group, others after 3 s of silence.

--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -22,6 +22,9 @@
 MOST_REFUSED_SENDS = 6
 """Sends of one request that instances may refuse; its attempts count runs only."""
 
+SECOND_LOOK_S = 0.2
+"""Interval of looking for an instance beside a silent one; about a service time."""
+
 MOVED_WAIT_S = 0.12
 """Wait after an instance says that it does not hold a key, while the key moves."""
 
@@ -57,6 +60,7 @@
         self._splits = desired_state.SplitChooser()
         self._window_by_service: dict[str, retries.RepeatWindow] = {}
         self._connections: set[caller_connection.CallerConnection] = set()
+        self._limits: set[asyncio.Timeout] = set()
         self._server: asyncio.Server | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
 
@@ -79,6 +83,13 @@
             connection.close()
         self.pool.close()
 
+    def stop(self, ends_by: float) -> None:
+        """Answer every request by a time in s of the loop, and close after answers."""
+        self.stopping = True
+        self.ends_by = ends_by
+        for limit in self._limits:
+            limit.reschedule(ends_by)
+
     def stop_listening(self) -> None:
         """Refuse new connections; open ones stay."""
         if self._server is not None:
@@ -152,12 +163,21 @@
             return messages.own_answer(503, "the service is not known", 0.3)
         work = self._start_work(request, route, service, request_id)
         self._window(service.name).on_request(request.received_at * 1000.0)
+        limit = asyncio.timeout(None)
         try:
-            answer = await self._forward(work)
+            async with limit:
+                self._limits.add(limit)
+                answer = await self._forward(work)
+        except TimeoutError:
+            work.trail.append("stopping")
+            work.may_have_run = work.may_have_run or work.attempts > 0
+            answer = self._give_up(work)
         except asyncio.CancelledError:
             events.emit(412, request=request_id, attempts=work.attempts)
             self.metrics.count("request.caller_left")
             raise
+        finally:
+            self._limits.discard(limit)
         self._report(work, answer, version)
         return answer
 
@@ -220,29 +240,79 @@
         return work
 
     async def _forward(self, work: works.Work) -> messages.Answer:
-        assert self._loop is not None
-        while True:
-            choice = await self._rooms.find(work)
-            if choice is None:
-                return self._give_up(work)
-            if (work.attempts or work.sends) and not self._may_repeat(work):
-                return self._give_up(work)
+        """Make attempts one after the other, or beside one that stays silent."""
+        running: set[asyncio.Task[messages.Answer | None]] = set()
+        patience_s: float | None = None
+        try:
+            while True:
+                choice = await self._rooms.find(work) if not running else None
+                if not running and (choice is None or not self._may_start(work)):
+                    return self._give_up(work)
+                if choice is not None:
+                    running.add(self._start(work, choice))
+                    patience_s = self._sender.patience_s(work, choice.estimate_ms)
+                done, _ = await asyncio.wait(
+                    running, timeout=patience_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                for attempt in done:
+                    running.discard(attempt)
+                    answer = attempt.result()
+                    if answer is not None:
+                        return answer
+                if not running and work.is_over:
+                    return self._give_up(work)
+                if not done:
+                    patience_s = self._start_beside(work, running)
+        finally:
+            for attempt in running:
+                attempt.cancel()
+
+    def _may_start(self, work: works.Work) -> bool:
+        """Return whether the next attempt is the first or within the budget."""
+        return not (work.attempts or work.sends) or self._may_repeat(work)
+
+    def _start(
+        self, work: works.Work, choice: placement.Choice
+    ) -> asyncio.Task[messages.Answer | None]:
+        """Start an attempt; its result is None where another may follow."""
+        work.latest = choice.load
+
+        async def attempt() -> messages.Answer | None:
             live_vms = self._surroundings.live_vms()
-            attempt = await self._sender.send(
-                work, choice.load, choice.estimate_ms, live_vms
-            )
-            answer = self._judge(work, choice.load, attempt)
-            if answer is not None:
-                return answer
-            if work.attempts >= work.route.most_attempts:
-                return self._give_up(work)
+            sent = await self._sender.send(work, choice.load, live_vms)
+            return self._judge(work, choice.load, sent)
+
+        assert self._loop is not None
+        return self._loop.create_task(attempt())
+
+    def _start_beside(
+        self, work: works.Work, running: set[asyncio.Task[messages.Answer | None]]
+    ) -> float | None:
+        """Send a request to a second instance, and return how long to wait now.
+
+        The silent instance may be at work on it, so that its attempt goes on.
+        """
+        assert self._loop is not None and work.latest is not None
+        silent = work.latest
+        if silent.instance.id not in work.excluded:
+            work.trail.append("silent")
+            work.excluded.add(silent.instance.id)
+            silent.on_failure(1000.0 * self._loop.time(), connected=True)
+            self.pool.close_idle(silent.instance)
+        if work.is_over:
+            return None
+        choice = self._rooms.choose(work)
+        if choice is None or not self._may_repeat(work):
+            return SECOND_LOOK_S
+        running.add(self._start(work, choice))
+        return self._sender.patience_s(work, choice.estimate_ms)
 
     def _may_repeat(self, work: works.Work) -> bool:
         assert self._loop is not None
         now_ms = 1000.0 * self._loop.time()
         window = self._window(work.service.name)
         allowed = window.try_take(self._surroundings.live_vms(), now_ms)
-        if not allowed:
+        if not allowed and work.trail[-1:] != ["no-budget"]:
             work.trail.append("no-budget")
         return allowed
 
@@ -259,18 +329,16 @@
             if outcome.reason.startswith("connection"):
                 load.on_failure(now_ms, connected=False)
                 self.pool.close_idle(instance)
-            return self._on_refusal(work, instance)
+            self._on_refusal(work, instance)
+            return None
         if isinstance(outcome, upstream_connection.Broken):
             work.trail.append(outcome.reason)
             load.on_failure(now_ms, connected=True)
             self.pool.close_idle(instance)
             work.may_have_run = True
             work.excluded.add(instance.id)
-            return (
-                None
-                if work.route.idempotent and not attempt.timed_out
-                else self._give_up(work)
-            )
+            work.closed = not work.route.idempotent or attempt.timed_out
+            return None
         if outcome.header(self._dialect.not_run) is not None or outcome.status == 421:
             work.trail.append(f"not-run-{outcome.status}")
             answering = outcome.header(self._dialect.answering_instance)
@@ -278,12 +346,14 @@
                 work.trail.append("other-instance")
                 load.on_other_instance(now_ms)
             work.attempts -= 1
-            return self._on_refusal(work, instance)
+            self._on_refusal(work, instance)
+            return None
         if self._is_garbled(outcome):
             work.trail.append("garbled")
             work.may_have_run = True
             work.excluded.add(instance.id)
-            return None if work.route.idempotent else self._give_up(work)
+            work.closed = not work.route.idempotent
+            return None
         if outcome.status >= 500:
             load.on_error_answer()
             work.trail.append(str(outcome.status))
@@ -294,18 +364,14 @@
                 return None
         return self._pass_on(outcome)
 
-    def _on_refusal(
-        self, work: works.Work, instance: placement.Instance
-    ) -> messages.Answer | None:
+    def _on_refusal(self, work: works.Work, instance: placement.Instance) -> None:
         """Look for another holder or instance after one certainly did not run it."""
         assert self._loop is not None
         work.excluded.add(instance.id)
         work.sends += 1
-        if work.sends >= MOST_REFUSED_SENDS:
-            return self._give_up(work)
+        work.closed = work.closed or work.sends >= MOST_REFUSED_SENDS
         work.moved_from = instance.id
         work.not_before = self._loop.time() + MOVED_WAIT_S
-        return None
 
     def _is_garbled(self, answer: messages.Answer) -> bool:
         if answer.header(b"content-encoding") is not None:
--- a/src/wasabivalve/gateway/rooms.py
+++ b/src/wasabivalve/gateway/rooms.py
@@ -107,7 +107,7 @@
             name = self._line_name(work)
             line = self._line(name)
             if not len(line):
-                choice = self._choose(work)
+                choice = self.choose(work)
                 if choice is not None:
                     return choice
             now = self._loop.time()
@@ -121,7 +121,7 @@
             try:
                 while self._line_name(work) == name:
                     if line.is_first(waiter, self._loop.time()):
-                        choice = self._choose(work)
+                        choice = self.choose(work)
                         if choice is not None:
                             return choice
                     if not await self._pause(waiter.wake, give_up_at):
@@ -179,7 +179,8 @@
             pass
         return True
 
-    def _choose(self, work: works.Work) -> placement.Choice | None:
+    def choose(self, work: works.Work) -> placement.Choice | None:
+        """Return an instance that has room now, or None."""
         now = 1000.0 * self._loop.time()
         instances = self._surroundings.instances(work.service.name)
         if work.key is not None:
--- a/src/wasabivalve/gateway/sending.py
+++ b/src/wasabivalve/gateway/sending.py
@@ -9,7 +9,7 @@
 from . import work as works
 
 SILENCE_FACTOR = 4.0
-"""Multiple of the estimate after which an attempt counts as unanswered."""
+"""Multiple of the estimate after which an attempt counts as silent."""
 
 
 class Attempt(NamedTuple):
@@ -33,7 +33,6 @@
         self,
         work: works.Work,
         load: placement.InstanceLoad,
-        estimate_ms: float,
         live_vms: int,
     ) -> Attempt:
         """Send a request; when cancelled, the instance's work is ended."""
@@ -76,13 +75,11 @@
                 (self._dialect.request_id, identity) if identity else None,
                 work.request.method == b"HEAD",
             )
-            ends_at = self._attempt_ends_at(work, estimate_ms, now)
             try:
-                async with asyncio.timeout_at(ends_at):
+                async with asyncio.timeout_at(work.end_at):
                     outcome = await exchange
             except TimeoutError:
-                late = ends_at >= work.end_at - works.LEAST_ATTEMPT_S
-                return Attempt(upstream_connection.Broken("no answer in time"), late)
+                return Attempt(upstream_connection.Broken("no answer in time"), True)
             if isinstance(outcome, messages.Answer):
                 ended = True
                 self._pool.give_back(instance, connection)
@@ -96,23 +93,19 @@
                 self._pool.discard(instance, connection)
             self._rooms.on_attempt_end(work)
 
-    def _attempt_ends_at(
-        self, work: works.Work, estimate_ms: float, now: float
-    ) -> float:
-        """Return until when an attempt may stay without an answer.
+    def patience_s(self, work: works.Work, estimate_ms: float) -> float | None:
+        """Return how long an attempt may be silent until a second one may start.
 
-        A full instance may never answer; work that may run twice is then sent again.
+        A full instance may never answer. None means that no other is asked: work that
+        must not run twice, and keys, which have one holder.
         """
-        if not work.route.idempotent or work.attempts >= work.route.most_attempts:
-            return work.end_at
-        if work.key is not None:
-            # The same instance would get it again, at the end of its queue.
-            return work.end_at
-        left_ms = 1000.0 * (work.end_at - now)
+        if not work.route.idempotent or work.key is not None:
+            return None
+        left_ms = 1000.0 * (work.end_at - asyncio.get_running_loop().time())
         patience_ms = max(work.route.target_latency_ms, SILENCE_FACTOR * estimate_ms)
         # A target that is near the timeout must still leave time for another attempt.
         latest_ms = max(2.0 * estimate_ms, 0.5 * left_ms)
-        return now + min(left_ms, patience_ms, latest_ms) / 1000.0
+        return max(0.0, min(left_ms, patience_ms, latest_ms)) / 1000.0
 
     def _encode(
         self, work: works.Work, instance: placement.Instance, now: float
--- a/src/wasabivalve/gateway/tests/test_forwarding.py
+++ b/src/wasabivalve/gateway/tests/test_forwarding.py
@@ -27,6 +27,20 @@
 )
 
 
+LATE = b"late "
+LATE_S = 1.3
+"""Time after which a late answer comes; above the patience of the routes below."""
+
+
+async def reading(reader, duration_s):
+    """Return whether a peer sends or closes within a time."""
+    try:
+        await asyncio.wait_for(reader.read(1), duration_s)
+    except TimeoutError:
+        return False
+    return True
+
+
 class Upstream:
     """Answer requests with a scripted list of raw answers, one a request."""
 
@@ -65,6 +79,11 @@
                     finally:
                         self.closed_early += 1
                     return
+                if step.startswith(LATE):
+                    step = step.removeprefix(LATE)
+                    if await reading(reader, LATE_S):
+                        self.closed_early += 1
+                        return
                 identity = [
                     line.split(b":")[1].strip()
                     for line in head.split(b"\r\n")
@@ -367,6 +386,40 @@
     play(scenario, script, script, timeout_ms=2_000.0)
 
 
+def test_attempt_at_a_silent_instance_goes_on_beside_the_next_one():
+    """Ending it cut off work and lost the answer when no other instance had one."""
+
+    async def scenario(scene):
+        status, _, body = await scene.ask()
+        assert (status, body) == (200, b"done")
+        assert [len(one.requests) for one in scene.upstreams] == [1, 1]
+
+    play(scenario, [LATE + OK], [LATE + OK], timeout_ms=2_000.0)
+
+
+def test_late_answer_is_delivered_when_no_other_instance_is_left():
+    """An instance may be at work on what it does not answer; nobody else may be."""
+
+    async def scenario(scene):
+        assert (await scene.ask())[0] == 200
+        assert scene.upstreams[0].closed_early == 0
+
+    play(scenario, [LATE + OK], timeout_ms=2_000.0)
+
+
+def test_first_answer_ends_the_work_on_the_other_attempt():
+    """An instance that goes on with answered work lacks the slot for others."""
+
+    async def scenario(scene):
+        assert (await scene.ask())[0] == 200
+        async with asyncio.timeout(1.0):
+            while not sum(one.closed_early for one in scene.upstreams):
+                await asyncio.sleep(0.01)
+
+    script = [b"hang", OK]
+    play(scenario, script, script, timeout_ms=2_000.0)
+
+
 def test_request_without_time_is_refused_without_blocking_others():
     """A loop that never waits stopped a whole VM until it was killed."""
 
@@ -542,6 +595,37 @@
     play(scenario, [OK])
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
+def test_stopping_gateway_answers_what_an_instance_does_not(path):
+    """The process ends; a connection that closes without an answer tells nothing."""
+
+    async def scenario(scene):
+        loop = asyncio.get_running_loop()
+        asked = asyncio.create_task(scene.ask(path))
+        while not scene.upstreams[0].requests:
+            await asyncio.sleep(0.01)
+        started = loop.time()
+        scene.gateway.stop(started + 0.2)
+        status, _, _ = await asked
+        assert status in (502, 504) and loop.time() < started + 0.5
+
+    play(scenario, [b"hang"], timeout_ms=5_000.0)
+
+
+def test_stopping_gateway_refuses_what_was_not_sent():
+    """Only a request that reached no instance may be refused as not run."""
+
+    async def scenario(scene):
+        scene.holder = view.Holder(None, 1e9)
+        asked = asyncio.create_task(scene.ask(headers="key: 7\r\n"))
+        await asyncio.sleep(0.1)
+        scene.gateway.stop(asyncio.get_running_loop().time() + 0.1)
+        status, _, _ = await asked
+        assert status == 503 and not scene.upstreams[0].requests
+
+    play(scenario, [b"hang"], timeout_ms=5_000.0, divided=True)
+
+
 def test_line_serves_first_what_can_be_on_time():
     """Under overload a first-come order makes every request late."""
     line = waiting.WaitingLine()
--- a/src/wasabivalve/gateway/upstream_connection.py
+++ b/src/wasabivalve/gateway/upstream_connection.py
@@ -37,11 +37,15 @@
 
 
 class UpstreamConnection(asyncio.Protocol):
-    """Hold a connection to a server; ``idle_since`` is in s of the loop."""
+    """Hold a connection to a server; times are in s of the loop.
+
+    ``received_at`` is when the last byte of the present exchange came.
+    """
 
     def __init__(self, opened_at: float) -> None:
         self.opened_at = opened_at
         self.idle_since = opened_at
+        self.received_at: float | None = None
         self.keep_alive_s: float | None = None
         self.usable = True
         self._transport: asyncio.Transport | None = None
@@ -70,6 +74,7 @@
         """
         assert self._transport is not None and self._result is None
         self._result = asyncio.get_running_loop().create_future()
+        self.received_at = None
         self._identity = identity
         self._to_head = to_head
         self._foreign = 0
@@ -115,6 +120,7 @@
             # Bytes that no request asked for.
             self.abort()
             return
+        self.received_at = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
--- a/src/wasabivalve/gateway/work.py
+++ b/src/wasabivalve/gateway/work.py
@@ -1,6 +1,7 @@
 """Hold the state of one request on its way through the gateway."""
 
 from wasabivalve.desired_state import core as desired_state
+from wasabivalve.placement import core as placement
 
 from . import messages
 
@@ -34,5 +35,12 @@
         self.sends = 0
         self.moved_from: str | None = None
         self.not_before = 0.0
+        self.latest: placement.InstanceLoad | None = None
+        self.closed = False
         self.last_failure: messages.Answer | None = None
         self.trail: list[str] = []
+
+    @property
+    def is_over(self) -> bool:
+        """Return whether no further attempt may be made."""
+        return self.closed or self.attempts >= self.route.most_attempts
--- a/src/wasabivalve/keyed_log/core.py
+++ b/src/wasabivalve/keyed_log/core.py
@@ -13,6 +13,9 @@
 """Pauses between calls while the store is away; short, as its return must be seen."""
 
 
+FIRST_RELAY_S = 0.6
+"""Time after a listing for which the first relay is awaited: relays come as often."""
+
 RELAY_TRUST_S = 1.4
 """Time after a relayed position for which a follower asks the store nothing.
 
@@ -89,6 +92,7 @@
         wait_s: float,
         generator: random.Random,
         clock: Callable[[], float],
+        stagger_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.name = name
         self._source = source
@@ -97,6 +101,7 @@
         self._wait_s = wait_s
         self._generator = generator
         self._clock = clock
+        self._stagger_s = stagger_s
         self._next: int | None = None
         self._failures = 0
         self._relayed_until = 0.0
@@ -111,11 +116,15 @@
     async def run(self) -> None:
         """Follow until cancelled; while others relay the topic, ask only for gaps."""
         while True:
+            listing = self._next is None
             pause = await self.step()
             if self._failures:
                 await asyncio.sleep(pause)
                 continue
             await self._rest(pause)
+            if listing:
+                # Those that relay go first; their relays may make reading needless.
+                await self._rest(self._stagger_s())
 
     async def _rest(self, pause: float) -> None:
         """Wait for the pause to end, for longer while relays come, not behind them."""
@@ -172,7 +181,7 @@
         self._on_success()
         self._next = result.end
         self._handlers.on_listing(result.records)
-        return 0.0
+        return FIRST_RELAY_S
 
     async def _read(self, offset: int) -> float:
         wait_s = 0.0 if self._behind else self._wait_s
--- a/src/wasabivalve/keyed_log/tests/test_follower.py
+++ b/src/wasabivalve/keyed_log/tests/test_follower.py
@@ -141,3 +141,30 @@
     topic = Topic()
     topic.follower.on_relay(5, 6, [core.Record(5, "a", b"1")])
     assert topic.seen == {} and topic.follower.next is None
+
+
+def test_relays_after_the_listing_make_reads_needless():
+    """At the start of 90 VMs each of them read every topic several times."""
+
+    async def main():
+        topic = Topic()
+        topic.put("a", b"1")
+        loop = asyncio.get_running_loop()
+        follower = core.TopicFollower(
+            "t",
+            topic.follower._source,
+            topic.follower._handlers,
+            0.5,
+            0.0,
+            random.Random(1),
+            loop.time,
+            lambda: 0.5,
+        )
+        running = asyncio.create_task(follower.run())
+        for _ in range(6):
+            await asyncio.sleep(0.3)
+            follower.on_relay(1, 1, [])
+        running.cancel()
+        assert topic.calls == 1
+
+    asyncio.run(main())
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -1,10 +1,11 @@
 """Run one entry VM on the platform."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -42,6 +43,9 @@
 VMS_INTERVAL_S = 1.5
 """The controller relays to the VMs that it knows; until then each reads by itself."""
 
+VMS_WAIT_S = 0.4
+"""Time at the start until the list of VMs is known; a call takes 10 to 110 ms."""
+
 CALL_REPORT_S = 10.0
 """Interval of the log line with the calls to the store."""
 
@@ -53,6 +57,9 @@
 EXIT_RESERVE_MS = 700.0
 """Time before the platform kills the process by which it has ended itself."""
 
+LAST_ANSWERS_S = 0.15
+"""Time in which the answers to requests that were ended reach their callers."""
+
 ROTATION_S = 2.6
 """The platform checks readiness once a second and takes a VM out after two misses."""
 
@@ -76,6 +83,7 @@
         self._changing: set[int] = set()
         self._changed = False
         self._listed = False
+        self._vms_listed = asyncio.Event()
         self._stopping = False
         self._loads = key_loads.KeyLoads()
         places = placement.Places(loaded.data_centre, loaded.region_by_data_centre)
@@ -128,7 +136,12 @@
             ),
         )
         self._membership = membership.Membership(
-            loaded, self._store, self._controller, self.is_ready, _boot_ms
+            loaded,
+            self._store,
+            self._controller,
+            self.is_ready,
+            self._exchange,
+            _boot_ms,
         )
         self._pages: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -157,7 +170,7 @@
                 self._on_operator_record,
                 0.0,
                 STATE_WAIT_S,
-                self._copies.fetch,
+                self._copies,
             ),
             self._follower(
                 SERVERS_TOPIC,
@@ -205,19 +218,20 @@
         """Leave the rotation, finish the requests in work and stop."""
         started = self._loop.time()
         events.emit(2, vm=self._settings.vm, in_work=self._gateway.busy)
-        self._stopping = self._gateway.stopping = True
+        self._stopping = True
         # Keys need renewals until another VM has claimed them, which an outage delays.
         self._controller.on_other_named()
         leave = self._loop.create_task(self._membership.leave())
         grace_s = (self._settings.grace_ms - EXIT_RESERVE_MS) / SECOND_MS
         rotation_s = min(ROTATION_S, 0.6 * grace_s)
-        self._gateway.ends_by = started + grace_s
+        self._gateway.stop(started + grace_s)
         await asyncio.sleep(rotation_s)
         # From here on a new connection is better refused than cut at the end.
         self._gateway.stop_listening()
-        while self._loop.time() < started + grace_s:
+        while self._loop.time() < started + grace_s + LAST_ANSWERS_S:
             self._gateway.close_idle_callers()
-            if not self._gateway.busy and not self._controller.leads:
+            leads = self._controller.leads and self._loop.time() < started + grace_s
+            if not self._gateway.busy and not leads:
                 break
             await asyncio.sleep(0.05)
         for task in (leave, *self._tasks):
@@ -251,17 +265,22 @@
         on_record: Callable[[keyed_log.Record], None],
         interval_s: float,
         wait_s: float,
-        fetch: Callable[[int], Awaitable[keyed_log.Batch | None]] | None = None,
+        others: copies.Copies | None = None,
     ) -> keyed_log.TopicFollower:
         async def listing() -> keyed_log.Listing | keyed_log.Unavailable:
+            if others is not None:
+                await self._wait_for_vms()
+                copied = await others.fetch_newest()
+                if copied is not None:
+                    return copied
             return await self._store.newest(topic)
 
         async def read(
             offset: int, wait: float
         ) -> keyed_log.Batch | keyed_log.Trimmed | keyed_log.Unavailable:
             # Without a wait there are records that another VM has read already.
-            if fetch is not None and wait == 0.0:
-                batch = await fetch(offset)
+            if others is not None and wait == 0.0:
+                batch = await others.fetch(offset)
                 if batch is not None:
                     return batch
             return await self._store.read(topic, offset, wait)
@@ -280,8 +299,14 @@
             wait_s,
             self._generator,
             self._loop.time,
+            lambda: self._exchange.stagger_s,
         )
 
+    async def _wait_for_vms(self) -> None:
+        """Wait until other VMs are known, for as long as a call to the store takes."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._vms_listed.wait(), VMS_WAIT_S)
+
     def _relay(
         self, topic: str, first: int, end: int, records: list[keyed_log.Record]
     ) -> None:
@@ -434,6 +459,7 @@
     def _on_vms_listing(self, records: Sequence[keyed_log.Record]) -> None:
         for record in records:
             self._exchange.on_vm(record)
+        self._vms_listed.set()
 
     async def _tick(self) -> None:
         reported_at = self._loop.time()
--- a/src/wasabivalve/platform/membership.py
+++ b/src/wasabivalve/platform/membership.py
@@ -7,6 +7,7 @@
 
 from wasabivalve.key_leases import controller
 from wasabivalve.keyed_log import core as keyed_log
+from wasabivalve.vm_link import exchange
 
 from . import settings, store
 
@@ -20,6 +21,18 @@
 GROUP_TTL_S = 1.6
 """Time without a call after which another VM becomes the controller."""
 
+CANDIDATES = 4
+"""VMs of each region that join the group; the others only after a long silence."""
+
+SILENCE_S = 3.0
+"""Time without a relay of a controller after which any VM may become the next one.
+
+A candidate takes over within 2.5 s; keys are held for 4 s.
+"""
+
+FIRST_LOOK_S = 0.6
+"""Time in which VMs that start together have registered."""
+
 LEAVE_RETRY_S = 0.3
 """Pause between attempts to leave; a few fit into the grace time of a stop."""
 
@@ -39,12 +52,14 @@
         client: store.Store,
         key_controller: controller.Controller,
         is_ready: Callable[[], bool],
+        link: exchange.Exchange,
         boot_ms: Callable[[], float],
     ) -> None:
         self._settings = loaded
         self._store = client
         self._controller = key_controller
         self._is_ready = is_ready
+        self._link = link
         self._boot_ms = boot_ms
         self._generation = 0
         self._parts: frozenset[int] = frozenset()
@@ -57,16 +72,24 @@
         while await self._store.append(VMS_TOPIC, vm, where) != "done":
             await asyncio.sleep(JOIN_INTERVAL_S)
         least_ttl_s = self._settings.group_ttl_ms / SECOND_MS
+        if len(self._link.vms.entry_by_vm) == 1:
+            await asyncio.sleep(FIRST_LOOK_S)
         while not self._left:
             idle = self._generation > 0 and not self._parts
             answered = True
-            if self._is_ready():
+            if self._is_ready() and self._is_candidate():
                 ttl_s = IDLE_TTL_S if idle else GROUP_TTL_S
                 answered = await self._join(vm, max(least_ttl_s, ttl_s))
             # After an outage the controller may be gone: then its successor is urgent.
             relaxed = idle and answered
             await asyncio.sleep(IDLE_JOIN_INTERVAL_S if relaxed else JOIN_INTERVAL_S)
 
+    def _is_candidate(self) -> bool:
+        """Return whether this VM should lead or stand by to lead."""
+        if self._parts or self._controller.leads:
+            return True
+        return self._link.vms.rank < CANDIDATES or self._link.unled_s > SILENCE_S
+
     async def leave(self) -> None:
         """Leave the group, so that another VM is named; retry until answered."""
         self._left = True
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -20,8 +20,15 @@
 """Time for a new connection; a round trip between regions takes 40 ms."""
 
 CALL_TIMEOUT_S = 1.2
-"""Time for an answer; a call from the other region took up to 108 ms, and a slow
-store takes up to 60 times its 4 ms."""
+"""Time without a byte of an answer; a call from the other region took up to 108 ms,
+and a slow store takes up to 60 times its 4 ms."""
+
+TRANSFER_TIMEOUT_S = 8.0
+"""Time for all of an answer, of which parts arrive.
+
+Thirty VMs that start at once may read 12 MB through 30 Mbit/s; each that gave up and
+began anew would make it longer for all.
+"""
 
 MOST_IDLE_CONNECTIONS = 4
 """As many as there are topics to follow."""
@@ -185,8 +192,7 @@
             return keyed_log.Unavailable(connection.reason, sent=False)
         kept = False
         try:
-            async with asyncio.timeout(limit_s):
-                outcome = await connection.exchange(data)
+            outcome = await _finish_exchange(connection, data, limit_s)
             if isinstance(outcome, upstream_connection.Broken):
                 return keyed_log.Unavailable(outcome.reason)
             kept = connection.usable
@@ -214,6 +220,24 @@
         )
 
 
+async def _finish_exchange(
+    connection: upstream_connection.UpstreamConnection, data: bytes, quiet_s: float
+) -> upstream_connection.Outcome:
+    """Return the outcome; raise ``TimeoutError`` when no byte came for a time."""
+    loop = asyncio.get_running_loop()
+    exchange = connection.exchange(data)
+    ends_at = loop.time() + max(quiet_s, TRANSFER_TIMEOUT_S)
+    quiet_until = loop.time() + quiet_s
+    while not exchange.done():
+        left = min(quiet_until, ends_at) - loop.time()
+        if left <= 0.0:
+            raise TimeoutError
+        await asyncio.wait([exchange], timeout=left)
+        if connection.received_at is not None:
+            quiet_until = connection.received_at + CALL_TIMEOUT_S
+    return exchange.result()
+
+
 def _refused(answer: messages.Answer) -> keyed_log.Unavailable:
     return keyed_log.Unavailable(f"status {answer.status}")
 
--- a/src/wasabivalve/platform/tests/test_store.py
+++ b/src/wasabivalve/platform/tests/test_store.py
@@ -136,3 +136,29 @@
         assert not first.parts & second.parts
 
     run(scenario)
+
+
+def test_answer_that_arrives_slowly_is_not_given_up(monkeypatch):
+    """Many VMs that begin a large listing anew keep a narrow link full for ever."""
+
+    async def main(gap_s):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            body = b'{"items": [], "more": false, "end": 4}'
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body))
+            for start in range(0, len(body), 8):
+                await asyncio.sleep(gap_s)
+                writer.write(body[start : start + 8])
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = store.Store(settings.Address("127.0.0.1", port))
+        listing = await client.newest("keyed.op")
+        client.close()
+        server.close()
+        return listing
+
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.15)
+    assert asyncio.run(main(0.05)) == keyed_log.Listing([], 4)
+    assert asyncio.run(main(0.5)) == keyed_log.Unavailable("no answer in time")
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -69,6 +69,17 @@
         self._shares_sent = False
         self._controller_address: core.Address | None = None
         self._relaying = False
+        self._led_at = self._loop.time()
+
+    @property
+    def unled_s(self) -> float:
+        """Return the time in s since the controller last relayed anything."""
+        return 0.0 if self._leads() else self._loop.time() - self._led_at
+
+    @property
+    def stagger_s(self) -> float:
+        """Return the time in s by which this VM waits longer than the first one."""
+        return STAGGER_S * min(self.vms.rank, roster.RELAYING_VMS)
 
     async def start(self) -> None:
         """Receive on this VM's own address."""
@@ -182,12 +193,12 @@
         else:
             if message.leads:
                 self._controller_address = sender
+                self._led_at = self._loop.time()
             self._relaying = False
             self._on_relay(message)
 
     def _on_relay(self, message: core.Relay) -> None:
-        trust_s = keyed_log.RELAY_TRUST_S
-        trust_s += STAGGER_S * min(self.vms.rank, roster.RELAYING_VMS)
+        trust_s = keyed_log.RELAY_TRUST_S + self.stagger_s
         for topic, end in message.end_by_topic.items():
             follower = self.follower_by_topic.get(topic)
             if follower is None:
--- a/src/wasabivalve/vm_link/tests/test_relaying.py
+++ b/src/wasabivalve/vm_link/tests/test_relaying.py
@@ -219,3 +219,34 @@
         source.close()
 
     asyncio.run(main())
+
+
+def test_vm_that_starts_takes_the_newest_copy():
+    """After a loss of power, 30 VMs read 12 MB through one link and none got ready."""
+
+    async def main():
+        ports = []
+        source = await serve_copies(ports)
+        source.put(RECORD)
+        reader = copies.Copies(lambda: [("127.0.0.1", ports[0])])
+        assert await reader.fetch_newest() == keyed_log.Listing([RECORD], 8)
+        assert await copies.Copies(list).fetch_newest() is None
+        source.close()
+
+    asyncio.run(main())
+
+
+def test_silence_of_the_controller_is_noted():
+    """VMs that stand by only after a silence must notice it, relays of others aside."""
+
+    async def main():
+        one = build_exchange("vm-1", {"vm-1": 5.0, "vm-2": 5.0}, leads=False)
+        one._led_at -= 5.0
+        follower = core.Relay("vm-2", False, {}, "servers", 0, [], 1, 1)
+        one._on_message(follower, ("127.0.0.1", 2))
+        assert one.unled_s >= 5.0
+        controller = core.Relay("vm-2", True, {}, "servers", 0, [], 1, 1)
+        one._on_message(controller, ("127.0.0.1", 2))
+        assert one.unled_s < 1.0
+
+    asyncio.run(main())
