Ask earlier controllers to yield; refuse and tell overload sooner

Shares are told every 0.3 s by a task of their own, for all services together. Refusals for a hot or lost key carry a Retry-After of up to 1 s.

--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -28,6 +28,7 @@
     (302, "INFO", "owner of a range changed"),
     (303, "WARNING", "server is suspected"),
     (304, "INFO", "term was claimed"),
+    (305, "INFO", "earlier controller has stopped"),
     (310, "INFO", "this VM was named controller of keys"),
     (311, "WARNING", "this VM stopped controlling keys"),
     (312, "INFO", "claim of a term was not confirmed"),
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -397,10 +397,8 @@
             late = self._loop.time() >= work.end_at - works.LEAST_ATTEMPT_S
             status = 504 if late else 502
             return messages.own_answer(status, "it is not known whether it has run")
-        expected = self._rooms.expected_wait_s(work)
-        retry_after = min(
-            LONGEST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, 0.5 * expected)
-        )
+        wanted = max(work.retry_after_s, 0.5 * self._rooms.expected_wait_s(work))
+        retry_after = min(LONGEST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wanted))
         return messages.own_answer(503, "the request has not run", retry_after)
 
     def _window(self, service: str) -> retries.RepeatWindow:
--- a/src/wasabivalve/gateway/rooms.py
+++ b/src/wasabivalve/gateway/rooms.py
@@ -21,6 +21,9 @@
 LONGEST_SLEEP_S = 0.05
 """A waiting request looks for room at least this often, as estimates age by time."""
 
+OVER_SHARE_RETRY_S = 1.0
+"""A key stays in demand for seconds; callers that return at once are refused again."""
+
 WAIT_SHARE = 0.6
 """Share of the time of a request that it may wait for room."""
 
@@ -157,10 +160,12 @@
                     work.admitted = True
                     return True
                 work.trail.append("over-share")
+                work.retry_after_s = OVER_SHARE_RETRY_S
                 return False
             until = holder.moving_until
             if until is not None and until / 1000.0 - LONGEST_MOVE_S > give_up_at:
                 work.trail.append("key-lost")
+                work.retry_after_s = until / 1000.0 - now
                 return False
             if not await self._pause(self._owners_changed, give_up_at):
                 work.trail.append("key-moving")
--- a/src/wasabivalve/gateway/work.py
+++ b/src/wasabivalve/gateway/work.py
@@ -37,6 +37,7 @@
         self.not_before = 0.0
         self.latest: placement.InstanceLoad | None = None
         self.closed = False
+        self.retry_after_s = 0.0
         self.last_failure: messages.Answer | None = None
         self.trail: list[str] = []
 
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -36,6 +36,12 @@
 TICK_MS = 100.0
 """Interval of looking for what is due; a small part of a renewal's interval."""
 
+SHARES_INTERVAL_MS = 300.0
+"""Interval of telling what overloaded holders can serve; VMs report as often.
+
+A holder queues a few requests; what many VMs send beyond that stays unanswered.
+"""
+
 BALANCE_INTERVAL_MS = 600.0
 """Interval of moves for balance; the load of a range takes about as long to show."""
 
@@ -74,6 +80,7 @@
         self._seen: tuple[str, ...] = ()
         self._seen_since = 0.0
         self._balanced_at = 0.0
+        self._claimed_at = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self._calls_under_way: set[asyncio.Task[None]] = set()
         self._avoided_until: dict[tuple[str, int], float] = {}
@@ -93,6 +100,7 @@
         self._tasks = [
             loop.create_task(self._repeat(self._renew)),
             loop.create_task(self._repeat(self._manage)),
+            loop.create_task(self._repeat(self._tell_shares, SHARES_INTERVAL_MS)),
         ]
 
     def close(self) -> None:
@@ -130,14 +138,38 @@
         if self._term is not None and key_map.term > self._term:
             self.on_follower("another controller claimed a later term")
 
-    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+    def yield_to(self, term: int) -> bool:
+        """Order nothing in terms before this one; return whether that is so."""
+        if not self._recorder.yield_to(term):
+            return False
+        if self._term is not None:
+            self.on_follower("another controller claimed a later term")
+        return True
+
+    def on_yielded(self, vm: str, term: int) -> None:
+        """Note that a VM that led before orders nothing any more."""
+        waited_for = self._recorder.predecessors
+        if self._term != term or vm not in waited_for:
+            return
+        waited_for.discard(vm)
+        events.emit(305, term=term, predecessor=vm, left=len(waited_for))
+        if waited_for:
+            return
+        until = self._calls.now() + self._longest_hold_ms()
+        for hold in self._holds:
+            if not hold.answered:
+                hold.until = min(hold.until, until)
+
+    async def _repeat(
+        self, step: Callable[[], Awaitable[None]], interval_ms: float = TICK_MS
+    ) -> None:
         while True:
             try:
                 await step()
             except Exception as error:
                 # One failed round must not end the control of all keys.
                 events.emit(5, where="key controller", error=repr(error))
-            await asyncio.sleep(TICK_MS / 1000.0)
+            await asyncio.sleep(interval_ms / 1000.0)
 
     def _has_authority(self) -> bool:
         if not self._leads or self._term is None:
@@ -153,7 +185,10 @@
         if not await self._recorder.claim(lambda: self._leads):
             return
         now = self._calls.now()
-        longest = holds.AUTHORITY_MS + self._longest_hold_ms()
+        self._claimed_at = now
+        longest = self._longest_hold_ms()
+        if self._recorder.predecessors:
+            longest += holds.AUTHORITY_MS
         token = self._recorder.next_token()
         self._holds = [
             holds.Hold(service, one, token, now + longest)
@@ -274,6 +309,7 @@
             return
         if not self._has_authority():
             return
+        self._ask_predecessors(self._term)
         self._note_instances()
         self._probe_avoided()
         for service in self._around.divided_services():
@@ -289,6 +325,13 @@
             for service in self._around.divided_services():
                 await self._balance(service)
 
+    def _ask_predecessors(self, term: int) -> None:
+        if self._calls.now() >= self._claimed_at + holds.AUTHORITY_MS:
+            # Nothing has confirmed them since the claim.
+            self._recorder.predecessors.clear()
+        for vm in self._recorder.predecessors:
+            self._around.ask_to_yield(vm, term)
+
     def _note_instances(self) -> None:
         seen = tuple(
             sorted(
@@ -366,10 +409,13 @@
                 hold.free = now >= hold.until
             elif instance is None or instance.draining:
                 hold.frozen = True
-                self._announce(hold, PLANNED_PAUSE_MS)
                 known = instance or hold.last_known
                 if known is not None:
+                    self._announce(hold, PLANNED_PAUSE_MS)
                     releases.append(self._release(hold, known))
+                else:
+                    # Gone before this term: only time frees its keys.
+                    self._announce(hold, hold.until - now)
             elif (
                 hold.failing_since is not None
                 and now >= hold.failing_since + LOST_AFTER_MS
@@ -500,6 +546,20 @@
             self._around.on_settled(term, number, service, settled)
         return "written"
 
+    async def _tell_shares(self) -> None:
+        """Tell all VMs which share of its requests each overloaded holder can serve.
+
+        It waits for no move: a holder is overloaded most while its keys move.
+        """
+        if not self._has_authority():
+            return
+        shares: dict[str, float] = {}
+        for service in self._around.divided_services():
+            ranges = [hold.range for hold in self._of(service)]
+            loads = self._around.loads(service)
+            shares |= planning.find_shares(ranges, self._targets(service), loads)
+        self._around.on_shares(shares)
+
     async def _balance(self, service: str) -> None:
         own = self._of(service)
         if not own or any(hold.frozen or not hold.answered for hold in own):
@@ -511,7 +571,6 @@
         pressure = planning.find_pressure(ranges, targets, loads)
         if pressure is not None and pressure.rate > OVERLOAD * pressure.capacity:
             events.emit(314, service=service, moves=len(moves), **pressure._asdict())
-        self._around.on_shares(planning.find_shares(ranges, targets, loads))
         if not moves or not await self._recorder.can_write():
             return
         moving = [view.MovingRange(service, one.first, one.last) for one in moves]
--- a/src/wasabivalve/key_leases/core.py
+++ b/src/wasabivalve/key_leases/core.py
@@ -27,6 +27,7 @@
 
     ``term`` is the position of the claim in the ledger: it only rises. ``writer`` is
     unique to one life of a controller and ``number`` counts its writes.
+    ``predecessors`` are the VMs that may still order in earlier terms.
     """
 
     term: int
@@ -34,6 +35,7 @@
     writer: str
     number: int
     ranges_by_service: Mapping[str, tuple[KeyRange, ...]]
+    predecessors: tuple[str, ...] = ()
 
     def find(self, service: str, key: int) -> KeyRange | None:
         """Return the range of a key, or None where none is recorded."""
--- a/src/wasabivalve/key_leases/holds.py
+++ b/src/wasabivalve/key_leases/holds.py
@@ -29,7 +29,7 @@
 """A controller renews for this long after the registry last confirmed it.
 
 It rides out an outage of the store of that length. A successor waits as long before
-it takes keys from an instance that does not answer.
+it takes keys from an instance that does not answer, unless its predecessors yield.
 """
 
 CALL_TIMEOUT_MS = 450.0
@@ -91,6 +91,7 @@
     on_moving: Callable[[list[view.MovingRange], float], None]
     on_settled: Callable[[int, int, str, list[core.KeyRange]], None]
     on_shares: Callable[[dict[str, float]], None]
+    ask_to_yield: Callable[[str, int], None]
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/wasabivalve/key_leases/recorder.py
+++ b/src/wasabivalve/key_leases/recorder.py
@@ -32,6 +32,9 @@
         self._end = 0
         self._step = 0
         self._writing = asyncio.Lock()
+        self._yielded_to = -1
+        # VMs that may still order in earlier terms than this one.
+        self.predecessors: set[str] = set()
 
     def next_token(self) -> int:
         """Return a token above all that were sent before."""
@@ -44,8 +47,15 @@
         ledger = await self._calls.read_ledger()
         if ledger is None or not leads():
             return False
-        claim = ledger.key_map._replace(
-            term=ledger.end, controller=self._vm, writer=self._writer, number=0
+        newest = ledger.key_map
+        # Earlier lives of this VM have ended.
+        predecessors = {newest.controller, *newest.predecessors} - {self._vm, ""}
+        claim = newest._replace(
+            term=ledger.end,
+            controller=self._vm,
+            writer=self._writer,
+            number=0,
+            predecessors=tuple(sorted(predecessors)),
         )
         result = await self._calls.append_ledger(claim, ledger.end)
         if result != "done":
@@ -53,12 +63,21 @@
             # the end moved and claims again behind it.
             events.emit(312, result=result, at=ledger.end)
             return False
-        if not leads():
+        if not leads() or ledger.end < self._yielded_to:
             return False
         self.term, self._end, self._step = ledger.end, ledger.end + 1, 0
+        self.predecessors = predecessors
         self._take_map(claim)
         return True
 
+    def yield_to(self, term: int) -> bool:
+        """Give up all earlier terms; return False if this VM has a later one."""
+        if self.term is not None and self.term >= term:
+            return False
+        # A claim whose answer is still on its way must not become effective later.
+        self._yielded_to = max(self._yielded_to, term)
+        return True
+
     async def write(
         self,
         ranges_by_service: Mapping[str, list[core.KeyRange]],
@@ -76,6 +95,7 @@
             }
             new = self.key_map._replace(
                 number=self.key_map.number + 1,
+                predecessors=tuple(sorted(self.predecessors)),
                 ranges_by_service={**self.key_map.ranges_by_service, **changed},
             )
             while has_authority() and self.term == term:
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -97,6 +97,8 @@
             self._loads,
             lambda: self._controller.leads,
             lambda: self._gateway.on_owners_changed(),
+            lambda term: self._controller.yield_to(term),
+            lambda vm, term: self._controller.on_yielded(vm, term),
         )
         self._directory = directory.InstanceDirectory(self._on_instance)
         self._gateway = gateway.Gateway(
@@ -133,6 +135,7 @@
                 self._exchange.on_moving,
                 self._exchange.on_settled,
                 self._exchange.on_shares,
+                self._exchange.ask_to_yield,
             ),
         )
         self._membership = membership.Membership(
--- a/src/wasabivalve/vm_link/__init__.py
+++ b/src/wasabivalve/vm_link/__init__.py
@@ -2,6 +2,7 @@
 
 from .core import (
     LARGEST_DATAGRAM,
+    Claimed,
     KeyReport,
     Link,
     Message,
@@ -10,12 +11,14 @@
     RelayedRecord,
     Settled,
     Shares,
+    Yielded,
     decode,
     encode,
 )
 
 __all__ = [
     "LARGEST_DATAGRAM",
+    "Claimed",
     "KeyReport",
     "Link",
     "Message",
@@ -24,6 +27,7 @@
     "RelayedRecord",
     "Settled",
     "Shares",
+    "Yielded",
     "decode",
     "encode",
 ]
--- a/src/wasabivalve/vm_link/core.py
+++ b/src/wasabivalve/vm_link/core.py
@@ -75,7 +75,21 @@
     share_by_instance: dict[str, float]
 
 
-Message = Relay | KeyReport | Moving | Settled | Shares
+class Claimed(msgspec.Struct, array_like=True, frozen=True, tag="claimed"):
+    """Ask a VM that led in an earlier term to order nothing in it any more."""
+
+    vm: str
+    term: int
+
+
+class Yielded(msgspec.Struct, array_like=True, frozen=True, tag="yielded"):
+    """State that a VM orders nothing in any term before this one."""
+
+    vm: str
+    term: int
+
+
+Message = Relay | KeyReport | Moving | Settled | Shares | Claimed | Yielded
 OnMessage = Callable[[Message, Address], None]
 
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -54,6 +54,8 @@
         loads: key_loads.KeyLoads,
         leads: Callable[[], bool],
         on_owners_changed: Callable[[], None],
+        yield_to: Callable[[int], bool],
+        on_yielded: Callable[[str, int], None],
     ) -> None:
         self.vms = vms
         self.follower_by_topic: Mapping[str, keyed_log.TopicFollower] = {}
@@ -63,6 +65,8 @@
         self._loads = loads
         self._leads = leads
         self._on_owners_changed = on_owners_changed
+        self._yield_to = yield_to
+        self._on_yielded = on_yielded
         self._loop = asyncio.get_running_loop()
         self._link = core.Link(self._on_message)
         self._settling_until = 0.0
@@ -159,6 +163,12 @@
             self._send(core.Shares(self._vm, share_by_instance), self.vms.others())
         self._shares_sent = bool(share_by_instance)
 
+    def ask_to_yield(self, vm: str, term: int) -> None:
+        """Ask a VM to order nothing in terms before this one."""
+        entry = self.vms.entry_by_vm.get(vm)
+        if entry is not None:
+            self._link.send(core.Claimed(self._vm, term), entry.address)
+
     def report_keys(self) -> None:
         """Send the controller the counts of requests by key since the last call."""
         counts = self._loads.take_unreported()
@@ -175,6 +185,11 @@
     def _on_message(self, message: core.Message, sender: core.Address) -> None:
         if isinstance(message, core.KeyReport):
             self._loads.on_report(message.counts_by_service, self._now_ms())
+        elif isinstance(message, core.Claimed):
+            if self._yield_to(message.term):
+                self._link.send(core.Yielded(self._vm, message.term), sender)
+        elif isinstance(message, core.Yielded):
+            self._on_yielded(message.vm, message.term)
         elif self._leads():
             # Another VM still takes itself for the controller; the ledger decides.
             return
