Let the controller read the desired state from the store, also behind a gap

The store dropped the record of a version; the controller, which was no source of copies, listed the topic anew by a copy of an older record, met the same gap again, and told all others to read no further. Change: a listing after a gap asks for copies behind what is known only; the controller asks no other VM. Tests: the follower passes on what is known; a leading VM has no sources (fails with the rule removed).

--- a/src/wasabivalve/keyed_log/core.py
+++ b/src/wasabivalve/keyed_log/core.py
@@ -64,9 +64,12 @@
 
 
 class Source(NamedTuple):
-    """Give the calls that a follower makes; waiting times are in s."""
+    """Give the calls that a follower makes; waiting times are in s.
 
-    listing: Callable[[], Awaitable[Listing | Unavailable]]
+    ``listing`` takes the offset up to which the records are known already.
+    """
+
+    listing: Callable[[int], Awaitable[Listing | Unavailable]]
     read: Callable[[int, float], Awaitable[Batch | Trimmed | Unavailable]]
 
 
@@ -103,6 +106,8 @@
         self._clock = clock
         self._stagger_s = stagger_s
         self._next: int | None = None
+        # The records before this offset are known, also while a new listing is made.
+        self._known = 0
         self._failures = 0
         self._relayed_until = 0.0
         self._behind = False
@@ -116,7 +121,7 @@
     async def run(self) -> None:
         """Follow until cancelled; while others relay the topic, ask only for gaps."""
         while True:
-            listing = self._next is None
+            listing = self._next is None and self._known == 0
             pause = await self.step()
             if self._failures:
                 await asyncio.sleep(pause)
@@ -175,13 +180,14 @@
         return await self._read(self._next)
 
     async def _list(self) -> float:
-        result = await self._source.listing()
+        result = await self._source.listing(self._known)
         if isinstance(result, Unavailable):
             return self._on_failure(result.reason)
         self._on_success()
+        first = self._known == 0
         self._next = result.end
         self._handlers.on_listing(result.records)
-        return FIRST_RELAY_S
+        return FIRST_RELAY_S if first else 0.0
 
     async def _read(self, offset: int) -> float:
         wait_s = 0.0 if self._behind else self._wait_s
@@ -191,7 +197,7 @@
         self._on_success()
         if isinstance(result, Trimmed):
             events.emit(202, topic=self.name, offset=offset, first=result.first)
-            self._next = None
+            self._known, self._next = offset, None
             return 0.0
         self._behind = False
         if self._next != offset:
--- a/src/wasabivalve/keyed_log/tests/test_follower.py
+++ b/src/wasabivalve/keyed_log/tests/test_follower.py
@@ -39,8 +39,9 @@
             pause = asyncio.run(self.follower.step())
         return pause
 
-    async def _listing(self):
+    async def _listing(self, known):
         self.calls += 1
+        self.known = known
         if self.away:
             return core.Unavailable("away")
         newest = {record.key: record for record in self.records}
@@ -102,6 +103,8 @@
     topic.first = 2
     topic.step(2)
     assert topic.seen == {"b": b"1"}
+    # A copy that is no newer would lead to the same gap again.
+    assert topic.known == 1
 
 
 def test_relayed_records_are_taken_once():
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -88,7 +88,10 @@
         self._loads = key_loads.KeyLoads()
         places = placement.Places(loaded.data_centre, loaded.region_by_data_centre)
         vms = roster.Roster(loaded.vm, loaded.vm_entry, places)
-        self._copies = copies.Copies(vms.sources_to_ask)
+        # The controller tells the others how far to read, so it asks the store.
+        self._copies = copies.Copies(
+            lambda: [] if self._controller.leads else vms.sources_to_ask()
+        )
         self._exchange = exchange.Exchange(
             loaded.vm,
             vms,
@@ -270,10 +273,12 @@
         wait_s: float,
         others: copies.Copies | None = None,
     ) -> keyed_log.TopicFollower:
-        async def listing() -> keyed_log.Listing | keyed_log.Unavailable:
+        async def listing(
+            known: int,
+        ) -> keyed_log.Listing | keyed_log.Unavailable:
             if others is not None:
                 await self._wait_for_vms()
-                copied = await others.fetch_newest()
+                copied = await others.fetch_newest(known)
                 if copied is not None:
                     return copied
             return await self._store.newest(topic)
--- a/src/wasabivalve/platform/tests/store_stand_in.py
+++ b/src/wasabivalve/platform/tests/store_stand_in.py
@@ -112,6 +112,9 @@
                 await asyncio.wait_for(self._changed.wait(), wait_s)
             except TimeoutError:
                 pass
+            first = self.first_by_topic.get(topic, 0)
+            if start < first:
+                return _answer(410, {"first": first})
         data = OFFSETS.pack(len(records), first)
         for content in records[start:]:
             data += LENGTH.pack(len(content)) + content
--- a/src/wasabivalve/platform/tests/test_entry_vm.py
+++ b/src/wasabivalve/platform/tests/test_entry_vm.py
@@ -7,8 +7,11 @@
 import socket
 
 import msgspec
+import pytest
 
+from wasabivalve import rendezvous
 from wasabivalve.platform import core, settings
+from wasabivalve.vm_link import roster
 
 HERE = pathlib.Path(__file__).parent
 PATIENCE_S = 8.0
@@ -338,3 +341,43 @@
         assert renewed
 
     play(scenario)
+
+
+def other_name(first):
+    """Return a name of a VM that is a source of copies before vm-1, or behind it."""
+    for number in range(2, 99):
+        name = f"vm-{number}"
+        ranked = rendezvous.rank_names(roster.ORDER_KEY, ("vm-1", name))
+        if (ranked[0] == name) == first:
+            return name
+    raise AssertionError("no such name")
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_desired_state_is_found_behind_dropped_history(first):
+    """VMs copied the same old state from each other for as long as they ran."""
+
+    async def scenario(store, plain, keyed, loaded, vm):
+        store.put("keyed.op", "config", operator_state(3))
+        other_settings = build_settings(other_name(first), store.port)
+        other = core.EntryVM(other_settings)
+        await other.start()
+
+        async def in_force(version):
+            states = [one._state for one in (vm, other)]
+            return all(state and state.version == version for state in states)
+
+        try:
+            await until(lambda: in_force(3))
+            # By then only the controller reads; it finds that the record is deleted.
+            await asyncio.sleep(2.5)
+            # Were it to ask a VM that follows its relays, both would wait for ever.
+            leaders = [one for one in (vm, other) if one._controller.leads]
+            assert [list(one._copies._sources()) for one in leaders] == [[]]
+            store.trim("keyed.op", 2)
+            store.put("keyed.op", "config", operator_state(9))
+            await until(lambda: in_force(9))
+        finally:
+            await other.close()
+
+    play(scenario)
--- a/src/wasabivalve/vm_link/copies.py
+++ b/src/wasabivalve/vm_link/copies.py
@@ -63,9 +63,9 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def fetch_newest(self) -> keyed_log.Listing | None:
-        """Return the newest record that another VM has, or None."""
-        batch = await self.fetch(0)
+    async def fetch_newest(self, offset: int) -> keyed_log.Listing | None:
+        """Return the newest record that another VM has from this offset on, or None."""
+        batch = await self.fetch(offset)
         return None if batch is None else keyed_log.Listing(batch.records, batch.end)
 
     async def fetch(self, offset: int) -> keyed_log.Batch | None:
--- a/src/wasabivalve/vm_link/tests/test_relaying.py
+++ b/src/wasabivalve/vm_link/tests/test_relaying.py
@@ -232,8 +232,8 @@
         source = await serve_copies(ports)
         source.put(RECORD)
         reader = copies.Copies(lambda: [("127.0.0.1", ports[0])])
-        assert await reader.fetch_newest() == keyed_log.Listing([RECORD], 8)
-        assert await copies.Copies(list).fetch_newest() is None
+        assert await reader.fetch_newest(0) == keyed_log.Listing([RECORD], 8)
+        assert await copies.Copies(list).fetch_newest(0) is None
         source.close()
 
     asyncio.run(main())
