Free keys at once when another instance answers; pass on how long holds last

The controller changed at 4.5, 14.3 and 19.0 s, and each new one waited 5.4 s for holders that did not answer, whatever its predecessor knew. Change: a 421 to an order states that its instance has ended; a VM that yields tells how long its grants last at failing instances.

--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -81,6 +81,9 @@
         self._seen_since = 0.0
         self._balanced_at = 0.0
         self._claimed_at = 0.0
+        self._yielded_until = 0.0
+        self._yielded_by_instance: list[dict[str, float]] = []
+        self._ended_until_by_instance: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._calls_under_way: set[asyncio.Task[None]] = set()
         self._avoided_until: dict[tuple[str, int], float] = {}
@@ -129,10 +132,27 @@
         """Stop all orders, as another VM leads or may lead."""
         if self._leads:
             events.emit(311, vm=self._vm, term=self._term, reason=reason)
+        if self._term is not None:
+            self._note_ended_holds()
         self._leads = False
         self._recorder.term = None
         self._holds = []
 
+    def _note_ended_holds(self) -> None:
+        """Keep until when instances that were failing may hold what they got."""
+        failing = {
+            hold.range.instance
+            for hold in self._holds
+            if hold.frozen or hold.failing_since is not None
+        }
+        until_by_instance: dict[str, float] = {}
+        for hold in self._holds:
+            instance = hold.range.instance
+            if instance in failing:
+                known = until_by_instance.get(instance, 0.0)
+                until_by_instance[instance] = max(known, hold.until)
+        self._ended_until_by_instance = until_by_instance
+
     def on_record(self, key_map: core.KeyMap) -> None:
         """Take in a recorded map; one of a later term ends this one."""
         if self._term is not None and key_map.term > self._term:
@@ -146,19 +166,40 @@
             self.on_follower("another controller claimed a later term")
         return True
 
-    def on_yielded(self, vm: str, term: int) -> None:
+    def left_ms_by_instance(self) -> dict[str, float]:
+        """Return how long grants of this VM last at instances that were failing.
+
+        They are those of its last term; other instances may hold for a full hold.
+        """
+        now = self._calls.now()
+        return {
+            instance: max(0.0, until - now)
+            for instance, until in self._ended_until_by_instance.items()
+        }
+
+    def on_yielded(
+        self, vm: str, term: int, left_ms_by_instance: Mapping[str, float]
+    ) -> None:
         """Note that a VM that led before orders nothing any more."""
         waited_for = self._recorder.predecessors
         if self._term != term or vm not in waited_for:
             return
         waited_for.discard(vm)
         events.emit(305, term=term, predecessor=vm, left=len(waited_for))
+        now, longest = self._calls.now(), self._longest_hold_ms()
+        self._yielded_by_instance.append(
+            {one: now + left for one, left in left_ms_by_instance.items()}
+        )
+        self._yielded_until = now + longest
         if waited_for:
             return
-        until = self._calls.now() + self._longest_hold_ms()
         for hold in self._holds:
             if not hold.answered:
-                hold.until = min(hold.until, until)
+                until = max(
+                    known.get(hold.range.instance, self._yielded_until)
+                    for known in self._yielded_by_instance
+                )
+                hold.until = max(hold.unanswered_until, min(hold.until, until))
 
     async def _repeat(
         self, step: Callable[[], Awaitable[None]], interval_ms: float = TICK_MS
@@ -186,6 +227,7 @@
             return
         now = self._calls.now()
         self._claimed_at = now
+        self._yielded_by_instance = []
         longest = self._longest_hold_ms()
         if self._recorder.predecessors:
             longest += holds.AUTHORITY_MS
@@ -285,6 +327,11 @@
             token=hold.token,
             result=result,
         )
+        if result == "gone":
+            hold.frozen = hold.free = True
+            life = (instance.id, instance.born)
+            self._avoided_until[life] = self._calls.now() + AVOIDED_MS
+            return
         if result == "refused":
             # Another controller used a higher token.
             self.on_follower("an instance has seen a higher token")
@@ -362,7 +409,7 @@
         answer = await self._calls.release(
             instance, 0, 0, self._recorder.next_token(), holds.CALL_TIMEOUT_MS
         )
-        if answer is not None and self._term == term:
+        if answer is not None and not answer.ended and self._term == term:
             self._avoided_until.pop((instance.id, instance.born), None)
 
     def _targets(self, service: str) -> list[planning.Target]:
--- a/src/wasabivalve/key_leases/holds.py
+++ b/src/wasabivalve/key_leases/holds.py
@@ -41,17 +41,24 @@
 NO_WRITE = -1
 """Number of a message about ranges whose recorded holder has not changed."""
 
-GrantResult = Literal["granted", "refused", "not_sent", "no_answer"]
-"""Only a grant that was not sent certainly does not arrive."""
+GrantResult = Literal["granted", "refused", "not_sent", "no_answer", "gone"]
+"""Only a grant that was not sent certainly does not arrive.
+
+``gone`` states that another instance has the address now: this one has ended.
+"""
 
 AppendResult = Literal["done", "moved", "refused", "unknown"]
 """A refused append was certainly not done; an unknown one may be done seconds later."""
 
 
 class Released(NamedTuple):
-    """State that an instance gave up keys, with its handover if it gave one."""
+    """State that an instance gave up keys, with its handover if it gave one.
+
+    An instance that ``ended`` holds nothing either.
+    """
 
     handover: str | None
+    ended: bool = False
 
 
 class Ledger(NamedTuple):
--- a/src/wasabivalve/key_leases/tests/test_controller.py
+++ b/src/wasabivalve/key_leases/tests/test_controller.py
@@ -397,6 +397,40 @@
         lease_world.play(scenario, seed=seed)
 
 
+def test_keys_of_an_instance_whose_address_has_another_one_move_at_once():
+    """Grants to it counted as unanswered, so that its keys waited 9 s for a holder."""
+
+    async def scenario(world):
+        leader = world.build("a")
+        leader.start()
+        await world.lead(leader, 3.0)
+        ended = world.instances[world.holder(5)]
+        ended.ended, ended.holds = True, []
+        await world.lead(leader, 2.0)
+        assert world.uncovered() == 0
+
+    lease_world.play(scenario)
+
+
+def test_successor_learns_how_long_failing_instances_may_hold():
+    """Each change of the controller made the keys of a lost instance wait 5 s more."""
+
+    async def scenario(world):
+        first, second = world.build("a"), world.build("b")
+        first.start()
+        second.start()
+        await world.lead(first, 3.0)
+        lost = world.instances[world.holder(5)]
+        lost.reachable = False
+        await world.lead(first, 1.5)
+        first.on_other_named()
+        await world.lead(second, 3.5)
+        assert world.uncovered() == 0
+
+    for seed in range(10):
+        lease_world.play(scenario, seed=seed)
+
+
 def test_keys_wait_for_a_controller_that_does_not_yield():
     """A controller that nobody reaches may renew for all of its authority."""
 
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -101,7 +101,8 @@
             lambda: self._controller.leads,
             lambda: self._gateway.on_owners_changed(),
             lambda term: self._controller.yield_to(term),
-            lambda vm, term: self._controller.on_yielded(vm, term),
+            lambda vm, term, left: self._controller.on_yielded(vm, term, left),
+            lambda: self._controller.left_ms_by_instance(),
         )
         self._directory = directory.InstanceDirectory(self._on_instance)
         self._gateway = gateway.Gateway(
--- a/src/wasabivalve/platform/grants.py
+++ b/src/wasabivalve/platform/grants.py
@@ -14,6 +14,12 @@
 IDLE_TRUST_S = 4.0
 """Renewals use a connection about once a second; one idle for longer is replaced."""
 
+OTHER_INSTANCE_STATUS = 421
+"""Answer to an order for an instance other than the one at the address.
+
+Addresses are used again only after their instance has ended.
+"""
+
 
 class Orders:
     """Hold one connection for orders to each instance."""
@@ -54,6 +60,8 @@
             return "no_answer"
         if answer.status == 200:
             return "granted"
+        if answer.status == OTHER_INSTANCE_STATUS:
+            return "gone"
         return "refused" if answer.status == 409 else "no_answer"
 
     async def release(
@@ -67,7 +75,11 @@
         """Take a range back; the answer comes once the work on it has ended."""
         body: dict[str, object] = {"from": first, "target": last, "fence": token}
         answer = await self._call(instance, b"/api/release", body, timeout_ms)
-        if not isinstance(answer, messages.Answer) or answer.status != 200:
+        if not isinstance(answer, messages.Answer):
+            return None
+        if answer.status == OTHER_INSTANCE_STATUS:
+            return holds.Released(None, ended=True)
+        if answer.status != 200:
             return None
         value = answer.header(b"handover")
         return holds.Released(value.decode("latin-1") if value else None)
--- a/src/wasabivalve/platform/tests/soak/core.py
+++ b/src/wasabivalve/platform/tests/soak/core.py
@@ -102,6 +102,8 @@
             await vm.kill()
         for one in [*self.relays, *self.instances, self.store]:
             one.close()
+        # The tasks of the relays end once they see that their connections closed.
+        await asyncio.sleep(0.1)
 
     async def _relay(self, port):
         relay = fault_relay.FaultRelay(port)
--- a/src/wasabivalve/platform/tests/soak/fault_relay.py
+++ b/src/wasabivalve/platform/tests/soak/fault_relay.py
@@ -80,6 +80,8 @@
                 raise EOFError
             await asyncio.sleep(self.delay_s)
             while direction in self.held or pair & self._silent:
+                if writer.transport.is_closing():
+                    raise EOFError
                 await asyncio.sleep(0.02)
             writer.write(data)
             await writer.drain()
--- a/src/wasabivalve/platform/tests/test_entry_vm.py
+++ b/src/wasabivalve/platform/tests/test_entry_vm.py
@@ -8,7 +8,9 @@
 import pytest
 
 from wasabivalve import rendezvous
-from wasabivalve.platform import core, settings
+from wasabivalve.gateway import messages
+from wasabivalve.key_leases import holds
+from wasabivalve.platform import core, grants, settings
 from wasabivalve.platform.tests import ports
 from wasabivalve.vm_link import roster
 
@@ -361,3 +363,25 @@
             await other.close()
 
     play(scenario)
+
+
+def test_orders_for_an_instance_that_has_ended_say_so():
+    """Another instance at its address answers that it is not the one named."""
+
+    async def main():
+        other = instance_stand_in.InstanceStandIn("i-other")
+
+        async def refuse(request):
+            return messages.Answer(421, b"", [(b"instance-id", b"i-other")], b"")
+
+        other.handle = refuse
+        await other.start()
+        orders = grants.Orders()
+        ended = other.entry(id="i-ended")
+        granted = await orders.grant(ended, 0, 9, 1, 4.0, None, 500.0)
+        released = await orders.release(ended, 0, 9, 1, 500.0)
+        assert (granted, released) == ("gone", holds.Released(None, ended=True))
+        orders.close()
+        other.close()
+
+    asyncio.run(main())
--- a/src/wasabivalve/vm_link/core.py
+++ b/src/wasabivalve/vm_link/core.py
@@ -83,10 +83,14 @@
 
 
 class Yielded(msgspec.Struct, array_like=True, frozen=True, tag="yielded"):
-    """State that a VM orders nothing in any term before this one."""
+    """State that a VM orders nothing in any term before this one.
+
+    ``left_ms_by_instance`` tells how long its grants last at failing instances.
+    """
 
     vm: str
     term: int
+    left_ms_by_instance: dict[str, float]
 
 
 Message = Relay | KeyReport | Moving | Settled | Shares | Claimed | Yielded
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -55,7 +55,8 @@
         leads: Callable[[], bool],
         on_owners_changed: Callable[[], None],
         yield_to: Callable[[int], bool],
-        on_yielded: Callable[[str, int], None],
+        on_yielded: Callable[[str, int, Mapping[str, float]], None],
+        left_ms_by_instance: Callable[[], dict[str, float]],
     ) -> None:
         self.vms = vms
         self.follower_by_topic: Mapping[str, keyed_log.TopicFollower] = {}
@@ -67,6 +68,7 @@
         self._on_owners_changed = on_owners_changed
         self._yield_to = yield_to
         self._on_yielded = on_yielded
+        self._left_ms_by_instance = left_ms_by_instance
         self._loop = asyncio.get_running_loop()
         self._link = core.Link(self._on_message)
         self._settling_until = 0.0
@@ -187,9 +189,13 @@
             self._loads.on_report(message.counts_by_service, self._now_ms())
         elif isinstance(message, core.Claimed):
             if self._yield_to(message.term):
-                self._link.send(core.Yielded(self._vm, message.term), sender)
+                left = self._left_ms_by_instance()
+                answer = core.Yielded(self._vm, message.term, left)
+                if not self._link.send(answer, sender):
+                    # Too many for a packet; without them the asker waits for longer.
+                    self._link.send(core.Yielded(self._vm, message.term, {}), sender)
         elif isinstance(message, core.Yielded):
-            self._on_yielded(message.vm, message.term)
+            self._on_yielded(message.vm, message.term, message.left_ms_by_instance)
         elif self._leads():
             # Another VM still takes itself for the controller; the ledger decides.
             return
