Answer that a VM yields only once its grants have ended

A grant that was not sent also put back the bound from before a predecessor had yielded. Change: bounds of answered and of unanswered grants are kept apart; a VM that yields stops at once and answers when no grant is under way.

--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -83,7 +83,7 @@
         self._claimed_at = 0.0
         self._yielded_until = 0.0
         self._yielded_by_instance: list[dict[str, float]] = []
-        self._ended_until_by_instance: dict[str, float] = {}
+        self._ended_holds: list[holds.Hold] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._calls_under_way: set[asyncio.Task[None]] = set()
         self._avoided_until: dict[tuple[str, int], float] = {}
@@ -133,49 +133,45 @@
         if self._leads:
             events.emit(311, vm=self._vm, term=self._term, reason=reason)
         if self._term is not None:
-            self._note_ended_holds()
+            self._ended_holds = self._holds
         self._leads = False
         self._recorder.term = None
         self._holds = []
 
-    def _note_ended_holds(self) -> None:
-        """Keep until when instances that were failing may hold what they got."""
-        failing = {
-            hold.range.instance
-            for hold in self._holds
-            if hold.frozen or hold.failing_since is not None
-        }
-        until_by_instance: dict[str, float] = {}
-        for hold in self._holds:
-            instance = hold.range.instance
-            if instance in failing:
-                known = until_by_instance.get(instance, 0.0)
-                until_by_instance[instance] = max(known, hold.until)
-        self._ended_until_by_instance = until_by_instance
-
     def on_record(self, key_map: core.KeyMap) -> None:
         """Take in a recorded map; one of a later term ends this one."""
         if self._term is not None and key_map.term > self._term:
             self.on_follower("another controller claimed a later term")
 
     def yield_to(self, term: int) -> bool:
-        """Order nothing in terms before this one; return whether that is so."""
+        """Order nothing in terms before this one; return whether that is so.
+
+        Grants that are under way end within a second.
+        """
         if not self._recorder.yield_to(term):
             return False
         if self._term is not None:
             self.on_follower("another controller claimed a later term")
-        return True
+        return not any(hold.calls for hold in self._ended_holds)
 
     def left_ms_by_instance(self) -> dict[str, float]:
         """Return how long grants of this VM last at instances that were failing.
 
         They are those of its last term; other instances may hold for a full hold.
         """
-        now = self._calls.now()
-        return {
-            instance: max(0.0, until - now)
-            for instance, until in self._ended_until_by_instance.items()
+        failing = {
+            hold.range.instance
+            for hold in self._ended_holds
+            if hold.frozen or hold.failing_since is not None
         }
+        now = self._calls.now()
+        left_ms_by_instance = dict.fromkeys(failing, 0.0)
+        for hold in self._ended_holds:
+            instance = hold.range.instance
+            if instance in failing:
+                left_ms = max(left_ms_by_instance[instance], hold.ends_at - now)
+                left_ms_by_instance[instance] = left_ms
+        return left_ms_by_instance
 
     def on_yielded(
         self, vm: str, term: int, left_ms_by_instance: Mapping[str, float]
@@ -199,7 +195,7 @@
                     known.get(hold.range.instance, self._yielded_until)
                     for known in self._yielded_by_instance
                 )
-                hold.until = max(hold.unanswered_until, min(hold.until, until))
+                hold.until = min(hold.until, until)
 
     async def _repeat(
         self, step: Callable[[], Awaitable[None]], interval_ms: float = TICK_MS
@@ -285,10 +281,8 @@
     async def _grant(self, hold: holds.Hold, instance: placement.Instance) -> None:
         term = self._term
         sent_at = self._calls.now()
-        until = sent_at + self._longest_hold_ms()
-        until_before, unanswered_before = hold.until, hold.unanswered_until
-        hold.until = max(hold.until, until)
-        hold.unanswered_until = until
+        unanswered_before = hold.unanswered_until
+        hold.unanswered_until = sent_at + self._longest_hold_ms()
         result = await self._calls.grant(
             instance,
             hold.range.first,
@@ -298,12 +292,14 @@
             hold.handover,
             holds.CALL_TIMEOUT_MS,
         )
-        if self._term != term:
-            return
         if result == "granted":
             # Grants of earlier terms are refused from here on.
             hold.until = self._calls.now() + self._hold_ms * holds.CLOCK_MARGIN
+        if result != "no_answer":
             hold.unanswered_until = unanswered_before
+        if self._term != term:
+            return
+        if result == "granted":
             hold.held_until = sent_at + self._hold_ms / holds.CLOCK_MARGIN
             hold.answered = True
             hold.failing_since = None
@@ -337,7 +333,6 @@
             self.on_follower("an instance has seen a higher token")
             return
         if result == "not_sent":
-            hold.until, hold.unanswered_until = until_before, unanswered_before
             hold.unanswered_in_row = 0
         else:
             hold.unanswered_in_row += 1
@@ -450,7 +445,7 @@
             if hold.free:
                 continue
             if hold.frozen:
-                hold.free = now >= hold.until
+                hold.free = now >= hold.ends_at
             elif instance is not None and instance.born != hold.range.born:
                 # The new life may have been granted keys before it registered.
                 hold.frozen = True
@@ -464,7 +459,7 @@
                     releases.append(self._release(hold, known))
                 else:
                     # Gone before this term: only time frees its keys.
-                    self._announce(hold, hold.until - now)
+                    self._announce(hold, hold.ends_at - now)
             elif (
                 hold.failing_since is not None
                 and now >= hold.failing_since + LOST_AFTER_MS
@@ -498,13 +493,13 @@
         if not hold.announced and not reached:
             events.emit(303, instance=instance.id, first=hold.range.first)
             hold.announced = True
-            self._announce(hold, hold.until - now)
+            self._announce(hold, hold.ends_at - now)
             life = (instance.id, instance.born)
             self._avoided_until[life] = now + AVOIDED_MS
         if hold.unanswered_in_row >= MOST_UNANSWERED:
             # Each grant that may have arrived makes the hold longer.
             hold.frozen = True
-        elif now >= hold.until and not hold.calls:
+        elif now >= hold.ends_at and not hold.calls:
             hold.frozen = hold.free = True
 
     async def _release(
@@ -535,7 +530,7 @@
                 hold.free = True
                 return
         if self._term == term:
-            self._announce(hold, hold.until - self._calls.now())
+            self._announce(hold, hold.ends_at - self._calls.now())
 
     async def _show_newer_token(
         self, hold: holds.Hold, instance: placement.Instance
--- a/src/wasabivalve/key_leases/holds.py
+++ b/src/wasabivalve/key_leases/holds.py
@@ -122,6 +122,14 @@
     last_known: placement.Instance | None = None
     calls: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
+    @property
+    def ends_at(self) -> float:
+        """Return when the range is certainly not held any more, if not renewed.
+
+        ``until`` bounds the grants that were answered and those of earlier terms.
+        """
+        return max(self.until, self.unanswered_until)
+
 
 def split(all_holds: Sequence[Hold], service: str, first: int, last: int) -> list[Hold]:
     """Return the holds, with holds of its own for the range from first to last."""
