Do not wait for grants that an instance rejected; probe who answers

Change: any answer but 200 states that the grant was not taken; after one, the health page tells whether another instance has the address, and the keys are free then.

--- a/src/wasabivalve/desired_state/core.py
+++ b/src/wasabivalve/desired_state/core.py
@@ -29,11 +29,15 @@
 
 
 class Service(NamedTuple):
-    """Describe a service; the instances of a ``divided`` one hold keys exclusively."""
+    """Describe a service; the instances of a ``divided`` one hold keys exclusively.
+
+    An instance tells at ``health_path`` whether it is healthy, and its id.
+    """
 
     name: str
     most_connections: int
     divided: bool
+    health_path: str = ""
 
 
 class CallerLimits(NamedTuple):
--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -35,6 +35,7 @@
     (313, "WARNING", "grant was not confirmed"),
     (314, "WARNING", "holder of keys is overloaded"),
     (315, "WARNING", "move of keys was taken back"),
+    (316, "WARNING", "grant was rejected"),
     # Instances, 320 to 349.
     (320, "INFO", "instances were listed"),
     (321, "INFO", "instance joined or changed"),
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -332,7 +332,7 @@
             # Another controller used a higher token.
             self.on_follower("an instance has seen a higher token")
             return
-        if result == "not_sent":
+        if result in ("not_sent", "rejected"):
             hold.unanswered_in_row = 0
         else:
             hold.unanswered_in_row += 1
--- a/src/wasabivalve/key_leases/holds.py
+++ b/src/wasabivalve/key_leases/holds.py
@@ -41,9 +41,10 @@
 NO_WRITE = -1
 """Number of a message about ranges whose recorded holder has not changed."""
 
-GrantResult = Literal["granted", "refused", "not_sent", "no_answer", "gone"]
-"""Only a grant that was not sent certainly does not arrive.
+GrantResult = Literal["granted", "refused", "rejected", "not_sent", "no_answer", "gone"]
+"""A grant without an answer may arrive later; with any other result it does not.
 
+``refused`` states that a higher token was seen, ``rejected`` any other failure;
 ``gone`` states that another instance has the address now: this one has ended.
 """
 
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -77,7 +77,7 @@
         self._loop = asyncio.get_running_loop()
         self._generator = random.Random()
         self._store = store.Store(loaded.store)
-        self._orders = grants.Orders()
+        self._orders = grants.Orders(self._health_path)
         self._state: desired_state.DesiredState | None = None
         self._view = view.KeyView()
         self._changing: set[int] = set()
@@ -440,6 +440,11 @@
         services = self._state.service_by_name.values()
         return [service.name for service in services if service.divided]
 
+    def _health_path(self, service: str) -> str:
+        known = None if self._state is None else self._state.service_by_name
+        found = None if known is None else known.get(service)
+        return "" if found is None else found.health_path
+
     async def _read_ledger(self) -> holds.Ledger | None:
         listing = await self._store.newest(LEDGER_TOPIC)
         if isinstance(listing, keyed_log.Unavailable):
--- a/src/wasabivalve/platform/desired_state.py
+++ b/src/wasabivalve/platform/desired_state.py
@@ -97,6 +97,7 @@
         most_connections=int(_number(spec, "max_connections", place)),
         # ``sharded`` means that each instance holds its keys exclusively.
         divided=spec.get("sharded") is True,
+        health_path=str(spec.get("health_path", "")),
     )
 
 
--- a/src/wasabivalve/platform/grants.py
+++ b/src/wasabivalve/platform/grants.py
@@ -1,13 +1,17 @@
 """Order instances to hold keys and to give them up."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
+from wasabivalve import events
 from wasabivalve.gateway import messages, upstream_connection
 from wasabivalve.key_leases import holds
 from wasabivalve.placement import core as placement
 
+from . import headers
+
 CONNECT_TIMEOUT_S = 0.4
 """Time for a new connection; a round trip between regions takes 40 ms."""
 
@@ -24,7 +28,8 @@
 class Orders:
     """Hold one connection for orders to each instance."""
 
-    def __init__(self) -> None:
+    def __init__(self, health_path: Callable[[str], str]) -> None:
+        self._health_path = health_path
         self._idle: dict[tuple[str, int], upstream_connection.UpstreamConnection] = {}
 
     def close(self) -> None:
@@ -62,7 +67,28 @@
             return "granted"
         if answer.status == OTHER_INSTANCE_STATUS:
             return "gone"
-        return "refused" if answer.status == 409 else "no_answer"
+        if answer.status == 409:
+            return "refused"
+        ended = await self._has_ended(instance, timeout_ms)
+        events.emit(
+            316, instance=instance.id, token=token, status=answer.status, ended=ended
+        )
+        return "gone" if ended else "rejected"
+
+    async def _has_ended(self, instance: placement.Instance, timeout_ms: float) -> bool:
+        """Return whether another instance tells its id at this one's address.
+
+        Instances of services that are not divided do not check for whom an order is.
+        """
+        path = self._health_path(instance.service)
+        if not path:
+            return False
+        answer = await self._call(instance, path.encode(), None, timeout_ms)
+        if not isinstance(answer, messages.Answer):
+            return False
+        answering = answer.header(headers.DIALECT.answering_instance)
+        other = answering is not None and answering != instance.id.encode()
+        return other or answer.status == OTHER_INSTANCE_STATUS
 
     async def release(
         self,
@@ -88,18 +114,19 @@
         self,
         instance: placement.Instance,
         target: bytes,
-        body: dict[str, object],
+        body: dict[str, object] | None,
         timeout_ms: float,
     ) -> upstream_connection.Outcome | upstream_connection.NotSent:
         name = (instance.id, instance.born)
-        headers = [
+        own_headers = [
             (b"host", f"{instance.host}:{instance.port}".encode()),
-            (b"content-type", b"application/json"),
             (b"expected-instance", instance.id.encode()),
         ]
-        data = messages.encode_request(
-            b"POST", target, headers, msgspec.json.encode(body), False
-        )
+        method, content = b"GET", b""
+        if body is not None:
+            own_headers.append((b"content-type", b"application/json"))
+            method, content = b"POST", msgspec.json.encode(body)
+        data = messages.encode_request(method, target, own_headers, content, False)
         connection = self._idle.pop(name, None)
         now = asyncio.get_running_loop().time()
         if connection is not None and (
--- a/src/wasabivalve/platform/tests/test_entry_vm.py
+++ b/src/wasabivalve/platform/tests/test_entry_vm.py
@@ -376,11 +376,20 @@
 
         other.handle = refuse
         await other.start()
-        orders = grants.Orders()
+        orders = grants.Orders(lambda service: "/health")
         ended = other.entry(id="i-ended")
         granted = await orders.grant(ended, 0, 9, 1, 4.0, None, 500.0)
         released = await orders.release(ended, 0, 9, 1, 500.0)
         assert (granted, released) == ("gone", holds.Released(None, ended=True))
+
+        async def reject(request):
+            name = b"i-other" if request.path == "/health" else b""
+            return messages.Answer(400, b"", [(b"instance-id", name)], b"")
+
+        other.handle = reject
+        assert await orders.grant(ended, 0, 9, 1, 4.0, None, 500.0) == "gone"
+        present = other.entry(id="i-other")
+        assert await orders.grant(present, 0, 9, 1, 4.0, None, 500.0) == "rejected"
         orders.close()
         other.close()
 
