Balance keys by the speed that all VMs observe

The controller took the speed of an instance from its own answers; as one of 90 VMs it saw about 4 answers of each instance in 50 s, below the 8 that it asked for, so that instances of half the usual speed got as many keys as others. Change: VMs report the slowness that answers show with their counts of keys; the controller averages over all. A soak test is imported by its absolute name.

--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -8,6 +8,7 @@
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.metrics import served
 from wasabivalve.placement import core as placement
+from wasabivalve.placement import speeds
 
 from . import caller_connection, messages, pool, rooms, sending, upstream_connection
 from . import work as works
@@ -46,13 +47,14 @@
         places: placement.Places,
         bounds: Bounds,
         surroundings: rooms.Surroundings,
+        instance_speeds: speeds.InstanceSpeeds,
     ) -> None:
         self.stopping = False
         self.ends_by = math.inf
         self.metrics = served.ServedMetrics()
         self.pool = pool.Pool()
         self._dialect = dialect
-        self._rooms = rooms.Rooms(dialect, places, surroundings)
+        self._rooms = rooms.Rooms(dialect, places, surroundings, instance_speeds)
         self._sender = sending.Sender(dialect, self._rooms, self.pool)
         self._bounds = bounds
         self._surroundings = surroundings
--- a/src/wasabivalve/gateway/rooms.py
+++ b/src/wasabivalve/gateway/rooms.py
@@ -8,6 +8,7 @@
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.key_leases import view as key_view
 from wasabivalve.placement import core as placement
+from wasabivalve.placement import speeds
 
 from . import messages, pool, waiting
 from . import work as works
@@ -33,10 +34,8 @@
 INITIAL_KILOBYTES = 2.0
 """Size of an exchange assumed until one was observed for the route."""
 
-LEAST_SPEED_SAMPLES = 8
-SLOWEST = 2.5
-FASTEST = 0.5
-"""Bounds of the slowness of an instance for the keys that it gets."""
+LARGEST_RATIO = 3.0
+"""One request in a hundred takes several times as long; it must not count for more."""
 
 
 class Surroundings(NamedTuple):
@@ -62,10 +61,12 @@
         dialect: messages.Dialect,
         places: placement.Places,
         surroundings: Surroundings,
+        instance_speeds: speeds.InstanceSpeeds,
     ) -> None:
         self._dialect = dialect
         self._places = places
         self._surroundings = surroundings
+        self._speeds = instance_speeds
         self._loop = asyncio.get_running_loop()
         self._load_by_life: dict[pool.Life, placement.InstanceLoad] = {}
         self._line_by_name: dict[str, waiting.WaitingLine] = {}
@@ -78,6 +79,7 @@
     def forget(self, instance: placement.Instance) -> None:
         """Forget a life of an instance that has ended."""
         self._load_by_life.pop(pool.Life(instance.id, instance.born), None)
+        self._speeds.forget(instance.id)
 
     def wake(self) -> None:
         """Let waiting requests look again, as instances or holders have changed."""
@@ -225,6 +227,7 @@
             1000.0 * (now - started), load_at_start, typical, 1000.0 * now
         )
         route, service = work.route.name, work.service.name
+        self._speeds.on_answer(load.instance.id, min(LARGEST_RATIO, sample / typical))
         normal = sample / load.slowness
         _average(self._service_time_by_route, route, normal)
         _average(self._service_time_by_service, service, normal)
@@ -261,10 +264,7 @@
         typical = self._service_time_by_service.get(
             instance.service, placement.INITIAL_SERVICE_TIME_MS
         )
-        own = self._load_by_life.get(pool.Life(instance.id, instance.born))
-        slowness = 1.0
-        if own is not None and own.samples >= LEAST_SPEED_SAMPLES:
-            slowness = min(SLOWEST, max(FASTEST, own.slowness))
+        slowness = self._speeds.slowness(instance.id)
         return max(1, instance.slots) * 1000.0 / (typical * slowness)
 
 
--- a/src/wasabivalve/gateway/tests/test_forwarding.py
+++ b/src/wasabivalve/gateway/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 from wasabivalve.gateway import caller_connection, core, messages, rooms, waiting
 from wasabivalve.key_leases import view
 from wasabivalve.placement import core as placement
+from wasabivalve.placement import speeds
 
 LIMITS = desired_state.CallerLimits(2_000, 1_000, 500.0, 5_000.0)
 DIALECT = messages.Dialect(
@@ -155,6 +156,7 @@
                 lambda: 1,
                 lambda service, key: None,
             ),
+            speeds.InstanceSpeeds(),
         )
 
     async def __aenter__(self):
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -17,7 +17,7 @@
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.placement import core as placement
-from wasabivalve.placement import directory
+from wasabivalve.placement import directory, speeds
 from wasabivalve.vm_link import copies, exchange, roster
 
 from . import desired_state as desired_state_decoder
@@ -86,6 +86,7 @@
         self._vms_listed = asyncio.Event()
         self._stopping = False
         self._loads = key_loads.KeyLoads()
+        instance_speeds = speeds.InstanceSpeeds()
         places = placement.Places(loaded.data_centre, loaded.region_by_data_centre)
         vms = roster.Roster(loaded.vm, loaded.vm_entry, places)
         # The controller tells the others how far to read, so it asks the store.
@@ -98,6 +99,7 @@
             exchange.Topics(SERVERS_TOPIC, LEDGER_TOPIC),
             self._view,
             self._loads,
+            instance_speeds,
             lambda: self._controller.leads,
             lambda: self._gateway.on_owners_changed(),
             lambda term: self._controller.yield_to(term),
@@ -118,6 +120,7 @@
                 lambda: len(vms.entry_by_vm),
                 lambda service, key: self._loads.on_key(service, key, self._now_ms()),
             ),
+            instance_speeds,
         )
         self._controller = controller.Controller(
             loaded.vm,
--- a/src/wasabivalve/platform/tests/soak/__main__.py
+++ b/src/wasabivalve/platform/tests/soak/__main__.py
@@ -4,8 +4,8 @@
 
 import click
 
-from .. import ports
-from . import core
+from wasabivalve.platform.tests import ports
+from wasabivalve.platform.tests.soak import core
 
 
 @click.command()
--- a/src/wasabivalve/platform/tests/soak/core.py
+++ b/src/wasabivalve/platform/tests/soak/core.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from .. import store_stand_in
-from . import fault_relay, instances, vm_process
+from wasabivalve.platform.tests import store_stand_in
+from wasabivalve.platform.tests.soak import fault_relay, instances, vm_process
 
 VMS = 3
 CALLERS = 12
--- a/src/wasabivalve/platform/tests/soak/instances.py
+++ b/src/wasabivalve/platform/tests/soak/instances.py
@@ -5,8 +5,7 @@
 import msgspec
 
 from wasabivalve.gateway import messages
-
-from .. import instance_stand_in
+from wasabivalve.platform.tests import instance_stand_in
 
 KEYS = 65_536
 WORK_S = (0.005, 0.04)
--- a/src/wasabivalve/platform/tests/soak/test_soak.py
+++ b/src/wasabivalve/platform/tests/soak/test_soak.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from .. import ports
-from . import core
+from wasabivalve.platform.tests import ports
+from wasabivalve.platform.tests.soak import core
 
 FAULTS_S = 6.0
 """Time with faults; a run by hand takes longer and plays fresh seeds."""
--- a/src/wasabivalve/vm_link/core.py
+++ b/src/wasabivalve/vm_link/core.py
@@ -44,10 +44,15 @@
 
 
 class KeyReport(msgspec.Struct, array_like=True, frozen=True, tag="keys"):
-    """Count the requests of a VM by service and key since its last one."""
+    """Count the requests of a VM by service and key since its last one.
+
+    ``speeds_by_instance`` holds the number of answers of each instance since then, and
+    the sum of their slowness, relative to what such requests usually take.
+    """
 
     vm: str
     counts_by_service: dict[str, dict[int, int]]
+    speeds_by_instance: dict[str, tuple[int, float]]
 
 
 class Moving(msgspec.Struct, array_like=True, frozen=True, tag="moving"):
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -14,6 +14,7 @@
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.key_leases import key_loads, view
 from wasabivalve.keyed_log import core as keyed_log
+from wasabivalve.placement import speeds
 
 from . import core, roster
 
@@ -52,6 +53,7 @@
         topics: Topics,
         key_view: view.KeyView,
         loads: key_loads.KeyLoads,
+        instance_speeds: speeds.InstanceSpeeds,
         leads: Callable[[], bool],
         on_owners_changed: Callable[[], None],
         yield_to: Callable[[int], bool],
@@ -64,6 +66,7 @@
         self._topics = topics
         self._view = key_view
         self._loads = loads
+        self._speeds = instance_speeds
         self._leads = leads
         self._on_owners_changed = on_owners_changed
         self._yield_to = yield_to
@@ -174,8 +177,12 @@
     def report_keys(self) -> None:
         """Send the controller the counts of requests by key since the last call."""
         counts = self._loads.take_unreported()
-        if counts and not self._leads() and self._controller_address is not None:
-            self._link.send(core.KeyReport(self._vm, counts), self._controller_address)
+        taken = self._speeds.take_unreported()
+        if self._leads() or self._controller_address is None:
+            return
+        if counts or taken:
+            report = core.KeyReport(self._vm, counts, taken)
+            self._link.send(report, self._controller_address)
 
     def _now_ms(self) -> float:
         return SECOND_MS * self._loop.time()
@@ -187,6 +194,7 @@
     def _on_message(self, message: core.Message, sender: core.Address) -> None:
         if isinstance(message, core.KeyReport):
             self._loads.on_report(message.counts_by_service, self._now_ms())
+            self._speeds.on_report(message.speeds_by_instance)
         elif isinstance(message, core.Claimed):
             if self._yield_to(message.term):
                 left = self._left_ms_by_instance()
--- a/src/wasabivalve/vm_link/tests/test_messages.py
+++ b/src/wasabivalve/vm_link/tests/test_messages.py
@@ -8,7 +8,7 @@
 
 MESSAGES = [
     core.Relay("vm", True, {"t": 4}, "t", 2, [core.RelayedRecord(3, "k", None)], 5, 6),
-    core.KeyReport("vm", {"desk": {7: 2}}),
+    core.KeyReport("vm", {"desk": {7: 2}}, {"i-1": (2, 1.5)}),
     core.Moving("vm", [("desk", 1, 2)], 500.0),
     core.Shares("vm", {"i-1": 0.5}),
     core.Claimed("vm", 4),
@@ -35,7 +35,7 @@
     async def main():
         link = core.Link(lambda message, sender: None)
         await link.start("127.0.0.1", 0)
-        large = core.KeyReport("vm", {"desk": dict.fromkeys(range(2_000), 1)})
+        large = core.KeyReport("vm", {"desk": dict.fromkeys(range(2_000), 1)}, {})
         assert not link.send(large, ("127.0.0.1", 9))
         assert link.send(MESSAGES[1], ("127.0.0.1", 9))
         link.close()
--- a/src/wasabivalve/vm_link/tests/test_relaying.py
+++ b/src/wasabivalve/vm_link/tests/test_relaying.py
@@ -10,6 +10,7 @@
 from wasabivalve.key_leases import key_loads, view
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.placement import core as placement
+from wasabivalve.placement import speeds
 from wasabivalve.vm_link import copies, core, exchange, roster
 
 PLACES = placement.Places("east", {"east": "coast", "west": "coast", "far": "inland"})
@@ -105,6 +106,7 @@
         exchange.Topics("servers", "ledger"),
         view.KeyView(),
         key_loads.KeyLoads(),
+        speeds.InstanceSpeeds(),
         lambda: leads,
         lambda: None,
         lambda term: term > 4,
