Let VMs of a data centre tell each other where their requests are

Each of 90 VMs sees its own requests and few reports of load. Change: each VM tells up to 24 VMs of its data centre every 0.1 s how many requests it has at each instance, if that changed (placement.peers). The counter request.retry is labelled by status: its label was mostly an instance's id.

--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -54,8 +54,8 @@
         self.metrics = served.ServedMetrics()
         self.pool = pool.Pool()
         self._dialect = dialect
-        self._rooms = rooms.Rooms(dialect, places, surroundings, instance_speeds)
-        self._sender = sending.Sender(dialect, self._rooms, self.pool)
+        self.rooms = rooms.Rooms(dialect, places, surroundings, instance_speeds)
+        self._sender = sending.Sender(dialect, self.rooms, self.pool)
         self._bounds = bounds
         self._surroundings = surroundings
         self._table: desired_state.RouteTable | None = None
@@ -138,13 +138,13 @@
     ) -> None:
         """Forget a life that ended and wake requests that wait for an instance."""
         if before is not None and (after is None or after.born != before.born):
-            self._rooms.forget(before)
+            self.rooms.forget(before)
             self.pool.close_idle(before)
-        self._rooms.wake()
+        self.rooms.wake()
 
     def on_owners_changed(self) -> None:
         """Let waiting requests look again, as keys have other holders."""
-        self._rooms.wake()
+        self.rooms.wake()
 
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Return the answer to a request; cancelled when its caller leaves."""
@@ -208,7 +208,7 @@
         self.metrics.count(outcome, str(answer.status))
         self.metrics.timing("request.duration", duration_ms, work.service.name)
         if len(work.trail) > 1:
-            self.metrics.count("request.retry", work.trail[-1][:20])
+            self.metrics.count("request.retry", str(answer.status))
 
     def _start_work(
         self,
@@ -247,7 +247,7 @@
         patience_s: float | None = None
         try:
             while True:
-                choice = await self._rooms.find(work) if not running else None
+                choice = await self.rooms.find(work) if not running else None
                 if not running and (choice is None or not self._may_start(work)):
                     return self._give_up(work)
                 if choice is not None:
@@ -303,7 +303,7 @@
             self.pool.close_idle(silent.instance)
         if work.is_over:
             return None
-        choice = self._rooms.choose(work)
+        choice = self.rooms.choose(work)
         if choice is None or not self._may_repeat(work):
             return SECOND_LOOK_S
         running.add(self._start(work, choice))
@@ -399,7 +399,7 @@
             late = self._loop.time() >= work.end_at - works.LEAST_ATTEMPT_S
             status = 504 if late else 502
             return messages.own_answer(status, "it is not known whether it has run")
-        wanted = max(work.retry_after_s, 0.5 * self._rooms.expected_wait_s(work))
+        wanted = max(work.retry_after_s, 0.5 * self.rooms.expected_wait_s(work))
         retry_after = min(LONGEST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wanted))
         return messages.own_answer(503, "the request has not run", retry_after)
 
@@ -415,4 +415,4 @@
 
     def capacity(self, instance: placement.Instance) -> float:
         """Return the requests per second that an instance can serve."""
-        return self._rooms.capacity(instance)
+        return self.rooms.capacity(instance)
--- a/src/wasabivalve/gateway/rooms.py
+++ b/src/wasabivalve/gateway/rooms.py
@@ -8,7 +8,7 @@
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.key_leases import view as key_view
 from wasabivalve.placement import core as placement
-from wasabivalve.placement import speeds
+from wasabivalve.placement import peers, speeds
 
 from . import messages, pool, waiting
 from . import work as works
@@ -67,6 +67,7 @@
         self._places = places
         self._surroundings = surroundings
         self._speeds = instance_speeds
+        self.peers = peers.PeerLoads()
         self._loop = asyncio.get_running_loop()
         self._load_by_life: dict[pool.Life, placement.InstanceLoad] = {}
         self._line_by_name: dict[str, waiting.WaitingLine] = {}
@@ -81,6 +82,14 @@
         self._load_by_life.pop(pool.Life(instance.id, instance.born), None)
         self._speeds.forget(instance.id)
 
+    def in_flight(self) -> dict[str, int]:
+        """Return the number of requests at each instance that has any."""
+        return {
+            life.id: load.in_flight
+            for life, load in self._load_by_life.items()
+            if load.in_flight
+        }
+
     def wake(self) -> None:
         """Let waiting requests look again, as instances or holders have changed."""
         self._owners_changed.set()
@@ -240,6 +249,7 @@
         if load is None:
             load = self._load_by_life[life] = placement.InstanceLoad(instance, now)
         load.instance = instance
+        load.at_peers = self.peers.total(instance.id)
         return load
 
     def _line_name(self, work: works.Work) -> str:
--- a/src/wasabivalve/placement/core.py
+++ b/src/wasabivalve/placement/core.py
@@ -108,6 +108,7 @@
         self.warm_at = now + instance.warmup_left_ms
         self.paused_until = -math.inf
         self._failures_in_a_row = 0
+        self.at_peers = 0
         self._others = 0.0
         self._reported_at = now
 
@@ -117,9 +118,14 @@
         self._reported_at = now
 
     def load(self, now: float) -> float:
-        """Return the estimated number of requests at the instance."""
+        """Return the estimated number of requests at the instance.
+
+        Requests of other VMs are known from what peers tell, and from what answers
+        report, which includes VMs elsewhere but ages.
+        """
         age = now - self._reported_at
-        return self.in_flight + self._others * 0.5 ** (age / REPORT_HALF_TIME_MS)
+        reported = self._others * 0.5 ** (age / REPORT_HALF_TIME_MS)
+        return self.in_flight + max(reported, self.at_peers)
 
     def on_answer(
         self, duration_ms: float, load_at_start: float, typical_ms: float, now: float
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -52,6 +52,9 @@
 TICK_S = 0.3
 """Interval of reports of keys to the controller and of closing idle connections."""
 
+IN_FLIGHT_S = 0.1
+"""Interval of telling peers where requests are; shorter than most work takes."""
+
 SECOND_MS = 1000.0
 
 EXIT_RESERVE_MS = 700.0
@@ -105,6 +108,9 @@
             lambda term: self._controller.yield_to(term),
             lambda vm, term, left: self._controller.on_yielded(vm, term, left),
             lambda: self._controller.left_ms_by_instance(),
+            lambda vm, counts: self._gateway.rooms.peers.on_message(
+                vm, counts, self._now_ms()
+            ),
         )
         self._directory = directory.InstanceDirectory(self._on_instance)
         self._gateway = gateway.Gateway(
@@ -208,6 +214,7 @@
         self._tasks = [self._loop.create_task(one.run()) for one in followers]
         self._tasks.append(self._loop.create_task(self._membership.run()))
         self._tasks.append(self._loop.create_task(self._tick()))
+        self._tasks.append(self._loop.create_task(self._tell_in_flight()))
         events.emit(1, vm=self._settings.vm, data_centre=self._settings.data_centre)
 
     def _readiness_page(self) -> messages.Answer:
@@ -478,6 +485,13 @@
             self._exchange.on_vm(record)
         self._vms_listed.set()
 
+    async def _tell_in_flight(self) -> None:
+        while True:
+            await asyncio.sleep(IN_FLIGHT_S)
+            rooms_ = self._gateway.rooms
+            rooms_.peers.expire(self._now_ms())
+            self._exchange.tell_in_flight(rooms_.in_flight())
+
     async def _tick(self) -> None:
         reported_at = self._loop.time()
         while True:
--- a/src/wasabivalve/vm_link/__init__.py
+++ b/src/wasabivalve/vm_link/__init__.py
@@ -3,6 +3,7 @@
 from .core import (
     LARGEST_DATAGRAM,
     Claimed,
+    InFlight,
     KeyReport,
     Link,
     Message,
@@ -19,6 +20,7 @@
 __all__ = [
     "LARGEST_DATAGRAM",
     "Claimed",
+    "InFlight",
     "KeyReport",
     "Link",
     "Message",
--- a/src/wasabivalve/vm_link/core.py
+++ b/src/wasabivalve/vm_link/core.py
@@ -80,6 +80,13 @@
     share_by_instance: dict[str, float]
 
 
+class InFlight(msgspec.Struct, array_like=True, frozen=True, tag="in-flight"):
+    """Count the requests that a VM has at each instance now."""
+
+    vm: str
+    count_by_instance: dict[str, int]
+
+
 class Claimed(msgspec.Struct, array_like=True, frozen=True, tag="claimed"):
     """Ask a VM that led in an earlier term to order nothing in it any more."""
 
@@ -98,7 +105,7 @@
     left_ms_by_instance: dict[str, float]
 
 
-Message = Relay | KeyReport | Moving | Settled | Shares | Claimed | Yielded
+Message = Relay | KeyReport | Moving | Settled | Shares | InFlight | Claimed | Yielded
 OnMessage = Callable[[Message, Address], None]
 
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -27,6 +27,9 @@
 A call to the store and a relay fit in; with it, VMs still read within 2 s.
 """
 
+TELL_AGAIN_S = 0.5
+"""Interval of telling what has not changed; a lost message matters for that long."""
+
 RELAYED_BYTES = 900
 """Size of the records in one relay; the rest of a packet is left for its positions."""
 
@@ -59,6 +62,7 @@
         yield_to: Callable[[int], bool],
         on_yielded: Callable[[str, int, Mapping[str, float]], None],
         left_ms_by_instance: Callable[[], dict[str, float]],
+        on_in_flight: Callable[[str, Mapping[str, int]], None],
     ) -> None:
         self.vms = vms
         self.follower_by_topic: Mapping[str, keyed_log.TopicFollower] = {}
@@ -72,6 +76,9 @@
         self._yield_to = yield_to
         self._on_yielded = on_yielded
         self._left_ms_by_instance = left_ms_by_instance
+        self._on_in_flight = on_in_flight
+        self._told: dict[str, int] = {}
+        self._told_at = 0.0
         self._loop = asyncio.get_running_loop()
         self._link = core.Link(self._on_message)
         self._settling_until = 0.0
@@ -174,6 +181,16 @@
         if entry is not None:
             self._link.send(core.Claimed(self._vm, term), entry.address)
 
+    def tell_in_flight(self, count_by_instance: dict[str, int]) -> None:
+        """Tell VMs of this data centre where this one has requests, if that changed."""
+        now = self._loop.time()
+        if count_by_instance == self._told and now < self._told_at + TELL_AGAIN_S:
+            return
+        if count_by_instance or self._told:
+            message = core.InFlight(self._vm, count_by_instance)
+            self._send(message, self.vms.peers())
+        self._told, self._told_at = count_by_instance, now
+
     def report_keys(self) -> None:
         """Send the controller the counts of requests by key since the last call."""
         counts = self._loads.take_unreported()
@@ -195,6 +212,8 @@
         if isinstance(message, core.KeyReport):
             self._loads.on_report(message.counts_by_service, self._now_ms())
             self._speeds.on_report(message.speeds_by_instance)
+        elif isinstance(message, core.InFlight):
+            self._on_in_flight(message.vm, message.count_by_instance)
         elif isinstance(message, core.Claimed):
             if self._yield_to(message.term):
                 left = self._left_ms_by_instance()
--- a/src/wasabivalve/vm_link/roster.py
+++ b/src/wasabivalve/vm_link/roster.py
@@ -19,6 +19,12 @@
 RELAYING_VMS = 2
 """VMs of a region that relay what they read while the controller relays nothing."""
 
+MOST_PEERS = 24
+"""VMs of the data centre that hear where this one has requests, to bound the messages.
+
+More VMs than that share the load of an instance so thinly that the rest matters less.
+"""
+
 ORDER_KEY = "relay"
 
 
@@ -70,6 +76,18 @@
         """Return the addresses of the other VMs of this VM's region."""
         return [self.entry_by_vm[vm].address for vm in self.region() if vm != self._vm]
 
+    def peers(self) -> list[core.Address]:
+        """Return the VMs of this data centre that hear of this one's requests."""
+        own = self.entry_by_vm[self._vm].data_centre
+        near = [
+            vm
+            for vm, entry in self.entry_by_vm.items()
+            if vm != self._vm and entry.data_centre == own
+        ]
+        if len(near) > MOST_PEERS:
+            near = list(rendezvous.rank_names(self._vm, near)[:MOST_PEERS])
+        return [self.entry_by_vm[vm].address for vm in near]
+
     def region(self) -> tuple[str, ...]:
         """Return the VMs of this VM's region, those with the fastest links first."""
         if self._region is None:
--- a/src/wasabivalve/vm_link/tests/test_messages.py
+++ b/src/wasabivalve/vm_link/tests/test_messages.py
@@ -11,6 +11,7 @@
     core.KeyReport("vm", {"desk": {7: 2}}, {"i-1": (2, 1.5)}),
     core.Moving("vm", [("desk", 1, 2)], 500.0),
     core.Shares("vm", {"i-1": 0.5}),
+    core.InFlight("vm", {"i-1": 2}),
     core.Claimed("vm", 4),
     core.Yielded("vm", 4, {"i-1": 20.0}),
     core.Settled("vm", 3, 4, "desk", [(1, 2, "i-1", 9)]),
--- a/src/wasabivalve/vm_link/tests/test_relaying.py
+++ b/src/wasabivalve/vm_link/tests/test_relaying.py
@@ -112,6 +112,7 @@
         lambda term: term > 4,
         lambda vm, term, left: yielded.append((vm, term, left)),
         lambda: {"i-1": 20.0},
+        lambda vm, counts: None,
     )
     built._link = SentMessages()
     return built
@@ -277,3 +278,26 @@
         assert len(asked._link.sent) == 1
 
     asyncio.run(main())
+
+
+def test_peers_hear_of_requests_when_they_change():
+    """Messages that repeat what is known cost time and bytes."""
+
+    async def main():
+        vms = {"vm-1": 5.0, "vm-2": 5.0, "vm-3": 5.0}
+        one = build_exchange("vm-1", vms, leads=False)
+        one.vms.on_record(vm_record("vm-2", "east", port=2))
+        one.tell_in_flight({})
+        assert not one._link.sent
+        one.tell_in_flight({"i-1": 2})
+        one.tell_in_flight({"i-1": 2})
+        # Only vm-2 is in the same data centre.
+        sent = [(message.count_by_instance, to) for message, to in one._link.sent]
+        assert sent == [({"i-1": 2}, ("127.0.0.1", 2))]
+        one._told_at -= exchange.TELL_AGAIN_S
+        one.tell_in_flight({"i-1": 2})
+        one.tell_in_flight({})
+        one.tell_in_flight({})
+        assert len(one._link.sent) == 3
+
+    asyncio.run(main())
