--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
@@ -30,6 +31,9 @@
 TELL_AGAIN_S = 0.5
 """Interval of telling what has not changed; a lost message matters for that long."""
 
+PEERS_AT_ONCE = 8
+"""VMs that are told at once; 80 messages a second take 1 % of a small core."""
+
 RELAYED_BYTES = 900
 """Size of the records in one relay; the rest of a packet is left for its positions."""
 
@@ -77,8 +81,8 @@
         self._on_yielded = on_yielded
         self._left_ms_by_instance = left_ms_by_instance
         self._on_in_flight = on_in_flight
-        self._told: dict[str, int] = {}
-        self._told_at = 0.0
+        self._told_by_turn: dict[int, tuple[dict[str, int], float]] = {}
+        self._turn = 0
         self._loop = asyncio.get_running_loop()
         self._link = core.Link(self._on_message)
         self._settling_until = 0.0
@@ -182,14 +186,21 @@
             self._link.send(core.Claimed(self._vm, term), entry.address)
 
     def tell_in_flight(self, count_by_instance: dict[str, int]) -> None:
-        """Tell VMs of this data centre where this one has requests, if that changed."""
+        """Tell some VMs of this data centre where this one has requests, if changed.
+
+        The next call tells the next ones, so that the messages are bounded.
+        """
         now = self._loop.time()
-        if count_by_instance == self._told and now < self._told_at + TELL_AGAIN_S:
+        peers = self.vms.peers()
+        groups = max(1, math.ceil(len(peers) / PEERS_AT_ONCE))
+        self._turn = (self._turn + 1) % groups
+        told, told_at = self._told_by_turn.get(self._turn, ({}, 0.0))
+        if count_by_instance == told and now < told_at + TELL_AGAIN_S:
             return
-        if count_by_instance or self._told:
+        if count_by_instance or told:
             message = core.InFlight(self._vm, count_by_instance)
-            self._send(message, self.vms.peers())
-        self._told, self._told_at = count_by_instance, now
+            self._send(message, peers[self._turn :: groups])
+        self._told_by_turn[self._turn] = count_by_instance, now
 
     def report_keys(self) -> None:
         """Send the controller the counts of requests by key since the last call."""
--- a/src/wasabivalve/vm_link/roster.py
+++ b/src/wasabivalve/vm_link/roster.py
@@ -79,11 +79,11 @@
     def peers(self) -> list[core.Address]:
         """Return the VMs of this data centre that hear of this one's requests."""
         own = self.entry_by_vm[self._vm].data_centre
-        near = [
+        near = sorted(
             vm
             for vm, entry in self.entry_by_vm.items()
             if vm != self._vm and entry.data_centre == own
-        ]
+        )
         if len(near) > MOST_PEERS:
             near = list(rendezvous.rank_names(self._vm, near)[:MOST_PEERS])
         return [self.entry_by_vm[vm].address for vm in near]
--- a/src/wasabivalve/vm_link/tests/test_relaying.py
+++ b/src/wasabivalve/vm_link/tests/test_relaying.py
@@ -294,10 +294,28 @@
         # Only vm-2 is in the same data centre.
         sent = [(message.count_by_instance, to) for message, to in one._link.sent]
         assert sent == [({"i-1": 2}, ("127.0.0.1", 2))]
-        one._told_at -= exchange.TELL_AGAIN_S
+        counts, at = one._told_by_turn[0]
+        one._told_by_turn[0] = counts, at - exchange.TELL_AGAIN_S
         one.tell_in_flight({"i-1": 2})
         one.tell_in_flight({})
         one.tell_in_flight({})
         assert len(one._link.sent) == 3
 
     asyncio.run(main())
+
+
+def test_many_peers_are_told_in_turns():
+    """22 messages each 0.1 s on each of 90 VMs took more time than requests did."""
+
+    async def main():
+        vms = {f"vm-{number}": 5.0 for number in range(23)}
+        one = build_exchange("vm-0", vms, leads=False)
+        for number in range(1, 23):
+            one.vms.on_record(vm_record(f"vm-{number}", "east", port=number + 1))
+        for _ in range(3):
+            before = len(one._link.sent)
+            one.tell_in_flight({"i-1": 2})
+            assert len(one._link.sent) - before <= exchange.PEERS_AT_ONCE
+        assert len({address for _, address in one._link.sent}) == 22
+
+    asyncio.run(main())
