--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -13,7 +13,7 @@
 from wasabivalve import events
 from wasabivalve.placement import core as placement
 
-from . import core, holds, planning, recorder, view
+from . import core, holds, planning, recorder, succession, view
 
 RELEASE_TIMEOUT_MS = 2_500.0
 """Time for a release, which ends when the work on the keys has ended."""
@@ -81,8 +81,7 @@
         self._seen_since = 0.0
         self._balanced_at = 0.0
         self._claimed_at = 0.0
-        self._yielded_until = 0.0
-        self._yielded_by_instance: list[dict[str, float]] = []
+        self._succession = succession.Succession()
         self._ended_holds: list[holds.Hold] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._calls_under_way: set[asyncio.Task[None]] = set()
@@ -155,23 +154,8 @@
         return not any(hold.calls for hold in self._ended_holds)
 
     def left_ms_by_instance(self) -> dict[str, float]:
-        """Return how long grants of this VM last at instances that were failing.
-
-        They are those of its last term; other instances may hold for a full hold.
-        """
-        failing = {
-            hold.range.instance
-            for hold in self._ended_holds
-            if hold.frozen or hold.failing_since is not None
-        }
-        now = self._calls.now()
-        left_ms_by_instance = dict.fromkeys(failing, 0.0)
-        for hold in self._ended_holds:
-            instance = hold.range.instance
-            if instance in failing:
-                left_ms = max(left_ms_by_instance[instance], hold.ends_at - now)
-                left_ms_by_instance[instance] = left_ms
-        return left_ms_by_instance
+        """Return how long grants of this VM's last term last at failing instances."""
+        return succession.left_ms_by_instance(self._ended_holds, self._calls.now())
 
     def on_yielded(
         self, vm: str, term: int, left_ms_by_instance: Mapping[str, float]
@@ -182,19 +166,14 @@
             return
         waited_for.discard(vm)
         events.emit(305, term=term, predecessor=vm, left=len(waited_for))
-        now, longest = self._calls.now(), self._longest_hold_ms()
-        self._yielded_by_instance.append(
-            {one: now + left for one, left in left_ms_by_instance.items()}
+        self._succession.on_yielded(
+            left_ms_by_instance, self._calls.now(), self._longest_hold_ms()
         )
-        self._yielded_until = now + longest
         if waited_for:
             return
         for hold in self._holds:
             if not hold.answered:
-                until = max(
-                    known.get(hold.range.instance, self._yielded_until)
-                    for known in self._yielded_by_instance
-                )
+                until = self._succession.until(hold.range.instance)
                 hold.until = min(hold.until, until)
 
     async def _repeat(
@@ -223,7 +202,7 @@
             return
         now = self._calls.now()
         self._claimed_at = now
-        self._yielded_by_instance = []
+        self._succession.begin()
         longest = self._longest_hold_ms()
         if self._recorder.predecessors:
             longest += holds.AUTHORITY_MS
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -103,13 +103,15 @@
             self._view,
             self._loads,
             instance_speeds,
-            lambda: self._controller.leads,
-            lambda: self._gateway.on_owners_changed(),
-            lambda term: self._controller.yield_to(term),
-            lambda vm, term, left: self._controller.on_yielded(vm, term, left),
-            lambda: self._controller.left_ms_by_instance(),
-            lambda vm, counts: self._gateway.rooms.peers.on_message(
-                vm, counts, self._now_ms()
+            exchange.Handlers(
+                lambda: self._controller.leads,
+                lambda: self._gateway.on_owners_changed(),
+                lambda term: self._controller.yield_to(term),
+                lambda vm, term, left: self._controller.on_yielded(vm, term, left),
+                lambda: self._controller.left_ms_by_instance(),
+                lambda vm, counts: self._gateway.rooms.peers.on_message(
+                    vm, counts, self._now_ms()
+                ),
             ),
         )
         self._directory = directory.InstanceDirectory(self._on_instance)
@@ -284,9 +286,7 @@
         wait_s: float,
         others: copies.Copies | None = None,
     ) -> keyed_log.TopicFollower:
-        async def listing(
-            known: int,
-        ) -> keyed_log.Listing | keyed_log.Unavailable:
+        async def listing(known: int) -> keyed_log.Listing | keyed_log.Unavailable:
             if others is not None:
                 await self._wait_for_vms()
                 copied = await others.fetch_newest(known)
@@ -488,9 +488,8 @@
     async def _tell_in_flight(self) -> None:
         while True:
             await asyncio.sleep(IN_FLIGHT_S)
-            rooms_ = self._gateway.rooms
-            rooms_.peers.expire(self._now_ms())
-            self._exchange.tell_in_flight(rooms_.in_flight())
+            self._gateway.rooms.peers.expire(self._now_ms())
+            self._exchange.tell_in_flight(self._gateway.rooms.in_flight())
 
     async def _tick(self) -> None:
         reported_at = self._loop.time()
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -50,6 +50,21 @@
     ledger: str
 
 
+class Handlers(NamedTuple):
+    """Take what other VMs tell, and give what they ask for.
+
+    ``yield_to`` returns whether this VM orders nothing in terms before one;
+    ``left_ms_by_instance`` how long its grants last at failing instances.
+    """
+
+    leads: Callable[[], bool]
+    on_owners_changed: Callable[[], None]
+    yield_to: Callable[[int], bool]
+    on_yielded: Callable[[str, int, Mapping[str, float]], None]
+    left_ms_by_instance: Callable[[], dict[str, float]]
+    on_in_flight: Callable[[str, Mapping[str, int]], None]
+
+
 class Exchange:
     """Hold the addresses of all VMs and the messages between them."""
 
@@ -61,12 +76,7 @@
         key_view: view.KeyView,
         loads: key_loads.KeyLoads,
         instance_speeds: speeds.InstanceSpeeds,
-        leads: Callable[[], bool],
-        on_owners_changed: Callable[[], None],
-        yield_to: Callable[[int], bool],
-        on_yielded: Callable[[str, int, Mapping[str, float]], None],
-        left_ms_by_instance: Callable[[], dict[str, float]],
-        on_in_flight: Callable[[str, Mapping[str, int]], None],
+        handlers: Handlers,
     ) -> None:
         self.vms = vms
         self.follower_by_topic: Mapping[str, keyed_log.TopicFollower] = {}
@@ -75,12 +85,8 @@
         self._view = key_view
         self._loads = loads
         self._speeds = instance_speeds
-        self._leads = leads
-        self._on_owners_changed = on_owners_changed
-        self._yield_to = yield_to
-        self._on_yielded = on_yielded
-        self._left_ms_by_instance = left_ms_by_instance
-        self._on_in_flight = on_in_flight
+        self._leads = handlers.leads
+        self._handlers = handlers
         self._told_by_turn: dict[int, tuple[dict[str, int], float]] = {}
         self._turn = 0
         self._loop = asyncio.get_running_loop()
@@ -167,7 +173,7 @@
     ) -> None:
         """Announce ranges that their holders have confirmed."""
         self._view.on_settled(term, number, service, settled)
-        self._on_owners_changed()
+        self._handlers.on_owners_changed()
         rows = [(one.first, one.last, one.instance, one.born) for one in settled]
         message = core.Settled(self._vm, term, number, service, rows)
         self._send(message, self.vms.others())
@@ -224,16 +230,18 @@
             self._loads.on_report(message.counts_by_service, self._now_ms())
             self._speeds.on_report(message.speeds_by_instance)
         elif isinstance(message, core.InFlight):
-            self._on_in_flight(message.vm, message.count_by_instance)
+            self._handlers.on_in_flight(message.vm, message.count_by_instance)
         elif isinstance(message, core.Claimed):
-            if self._yield_to(message.term):
-                left = self._left_ms_by_instance()
+            if self._handlers.yield_to(message.term):
+                left = self._handlers.left_ms_by_instance()
                 answer = core.Yielded(self._vm, message.term, left)
                 if not self._link.send(answer, sender):
                     # Too many for a packet; without them the asker waits for longer.
                     self._link.send(core.Yielded(self._vm, message.term, {}), sender)
         elif isinstance(message, core.Yielded):
-            self._on_yielded(message.vm, message.term, message.left_ms_by_instance)
+            self._handlers.on_yielded(
+                message.vm, message.term, message.left_ms_by_instance
+            )
         elif self._leads():
             # Another VM still takes itself for the controller; the ledger decides.
             return
@@ -246,7 +254,7 @@
             self._view.on_settled(
                 message.term, message.number, message.service, settled
             )
-            self._on_owners_changed()
+            self._handlers.on_owners_changed()
         elif isinstance(message, core.Shares):
             self._view.on_shares(message.share_by_instance, self._now_ms())
         else:
--- a/src/wasabivalve/vm_link/tests/test_relaying.py
+++ b/src/wasabivalve/vm_link/tests/test_relaying.py
@@ -107,12 +107,14 @@
         view.KeyView(),
         key_loads.KeyLoads(),
         speeds.InstanceSpeeds(),
-        lambda: leads,
-        lambda: None,
-        lambda term: term > 4,
-        lambda vm, term, left: yielded.append((vm, term, left)),
-        lambda: {"i-1": 20.0},
-        lambda vm, counts: None,
+        exchange.Handlers(
+            lambda: leads,
+            lambda: None,
+            lambda term: term > 4,
+            lambda vm, term, left: yielded.append((vm, term, left)),
+            lambda: {"i-1": 20.0},
+            lambda vm, counts: None,
+        ),
     )
     built._link = SentMessages()
     return built
