--- a/src/wasabivalve/vm_link/tests/test_relaying.py
+++ b/src/wasabivalve/vm_link/tests/test_relaying.py
@@ -81,7 +81,7 @@
     assert offsets == [one.offset for one in records]
     for part in parts:
         assert all(part.first <= one.offset < part.end for one in part.records)
-        ends = {"keyed.servers": part.end, "keyed.op": 9, "keyed.wasabivalve.keys": 9}
+        ends = {"instances.all": part.end, "states": 9, "keyed.wasabivalve.keys": 9}
         relay = core.Relay("vm", True, ends, "t", part.first, part.records, 1, 1)
         assert len(core.encode(relay)) <= core.LARGEST_DATAGRAM
 
