Import stand-ins in tests instead of loading them by hand

Cause: two tests each carried a loader for modules that the soak imports by name. Change: both import them; no assertion changes. Conclusion: no change of behaviour.

--- a/src/wasabivalve/platform/tests/test_entry_vm.py
+++ b/src/wasabivalve/platform/tests/test_entry_vm.py
@@ -1,8 +1,6 @@
 """Guard the whole path of a VM against stand-ins of the store and of instances."""
 
 import asyncio
-import importlib.util
-import pathlib
 
 import msgspec
 import pytest
@@ -11,25 +9,13 @@
 from wasabivalve.gateway import messages
 from wasabivalve.key_leases import holds
 from wasabivalve.platform import core, grants, settings
-from wasabivalve.platform.tests import ports
+from wasabivalve.platform.tests import instance_stand_in, ports, store_stand_in
 from wasabivalve.vm_link import roster
 
-HERE = pathlib.Path(__file__).parent
 PATIENCE_S = 8.0
 """Time for a step; starting takes well under a second."""
 
 
-def load_stand_in(name):
-    spec = importlib.util.spec_from_file_location(name, HERE / f"{name}.py")
-    module = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(module)
-    return module
-
-
-store_stand_in = load_stand_in("store_stand_in")
-instance_stand_in = load_stand_in("instance_stand_in")
-
-
 def build_settings(name, store_port):
     local = [settings.Address("127.0.0.1", port) for port in ports.free_ports(4)]
     return settings.Settings(
--- a/src/wasabivalve/platform/tests/test_store.py
+++ b/src/wasabivalve/platform/tests/test_store.py
@@ -1,23 +1,10 @@
 """Guard the one client of the platform's store."""
 
 import asyncio
-import importlib.util
-import pathlib
 
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.platform import settings, store
-
-HERE = pathlib.Path(__file__).parent
-
-
-def load_stand_in(name):
-    spec = importlib.util.spec_from_file_location(name, HERE / f"{name}.py")
-    module = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(module)
-    return module
-
-
-store_stand_in = load_stand_in("store_stand_in")
+from wasabivalve.platform.tests import store_stand_in
 
 
 def run(scenario):
