--- a/review/common/instance.py
+++ b/review/common/instance.py
@@ -39,7 +39,6 @@
         self.holds_until = ranges.RangeMap()
         self.highest_fence = ranges.RangeMap()
         self.work_s = 0.01
-        self.body = b"done\n"
         self._zone = zone
         self._record = run_record
         self._store = metadata_store
@@ -177,4 +176,8 @@
             finally:
                 self._working -= 1
         headers = {**echo, "Response-Signature": f"{self.name}.{request_id}"}
-        return http1.encode_response(200, headers, self.body)
+        return http1.encode_response(200, headers, self.render_body(target))
+
+    def render_body(self, target: str) -> bytes:
+        """Return the body of the answer to a request."""
+        return b"done\n"
