Keep requests of a route to the regions that it allows

Cause: allowed_regions of a route was not read, and a dispatcher named any region with free slots, so that bookings reached instances in excluded regions.

Change: placement.eligibility decides which instances may serve a request. The gateway applies it to first attempts, retries and hedges with the regions of the newest desired state, dispatchers to grants and to the regions that they name, and the key controller to the holders of keys. A VM asks the dispatcher of an allowed region. A request that no instance may serve is refused at once with 503 and Retry-After. The kind download counts as idempotent.

--- a/src/wasabivalve/desired_state/core.py
+++ b/src/wasabivalve/desired_state/core.py
@@ -15,6 +15,7 @@
     """Describe how requests below one path prefix of a host are handled.
 
     ``rank`` 0 is the most urgent; ``idempotent`` requests may run more than once.
+    Only instances in ``allowed_regions`` may serve them; empty allows all regions.
     """
 
     name: str
@@ -26,6 +27,7 @@
     timeout_ms: float
     target_latency_ms: float
     rank: int
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class ServiceConfig(NamedTuple):
--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -56,6 +56,7 @@
     (405, "WARNING", "instance ended its connection under a request"),
     (406, "INFO", "response cleared a request under which instances had ended"),
     (407, "INFO", "refused request asks to run once at an instance"),
+    (408, "WARNING", "request was refused, as no instance may serve it"),
     (
         410,
         "WARNING",
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 from collections.abc import Sequence
-from typing import NamedTuple
 
 from wasabivalve import events, quarantine, retries, shared_facts
 from wasabivalve.desired_state import core as desired_state
@@ -20,6 +19,7 @@
     pending_request,
     pool,
     receiving,
+    retry_windows,
     sending,
     upstream_connection,
 )
@@ -56,16 +56,7 @@
 """
 
 
-class RetryLimits(NamedTuple):
-    """Bound the retries of a service over all VMs together.
-
-    They may reach ``retry_share`` of the requests of the last ``retry_window_ms`` plus
-    ``retry_allowance``.
-    """
-
-    retry_share: float
-    retry_window_ms: float
-    retry_allowance: float
+RetryLimits = retry_windows.RetryLimits
 
 
 class Gateway:
@@ -93,7 +84,13 @@
         self.pool = pool.ConnectionPool(message_limits, self.buffers)
         self._header_format = header_format
         self.selector = instance_selection.InstanceSelector(
-            header_format, topology, callbacks, shared_service_times, slots, facts
+            header_format,
+            topology,
+            callbacks,
+            shared_service_times,
+            self.metrics,
+            slots,
+            facts,
         )
         self._sender = sending.Sender(header_format, self.selector, self.pool)
         self._crash_watch = crash_watch.CrashWatch(
@@ -101,21 +98,19 @@
             self.metrics,
             claim_trial,
         )
-        self._retry_limits = retry_limits
+        self._retry_windows = retry_windows.RetryWindows(retry_limits)
         self._callbacks = callbacks
         self._route_table: desired_state.RouteTable | None = None
         self._service_chooser = desired_state.WeightedRoundRobin()
-        self._retry_window_by_service: dict[str, retries.RetryWindow] = {}
         self._connections: set[caller_connection.CallerConnection] = set()
         self._stop_timeouts: set[asyncio.Timeout] = set()
         self._server: asyncio.Server | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
-        self._started_at = 0.0
 
     async def start(self, host: str, port: int) -> None:
         """Accept connections of callers."""
         self._loop = asyncio.get_running_loop()
-        self._started_at = 1000.0 * self._loop.time()
+        self._retry_windows.started_at = 1000.0 * self._loop.time()
         self._server = await self._loop.create_server(
             lambda: caller_connection.CallerConnection(self),
             host,
@@ -169,6 +164,7 @@
     def set_desired_state(self, state: desired_state.DesiredState) -> None:
         """Apply a desired state to requests that arrive from now on."""
         self._route_table = desired_state.RouteTable(state)
+        self.selector.eligible.set_desired_state(state)
         self._service_chooser.retain_routes(state)
 
     def limits(self) -> desired_state.CallerLimits:
@@ -229,7 +225,8 @@
             events.emit(410, request=request_id, reason="unknown service")
             return messages.local_response(503, "the service is not known", 0.3)
         pending = self._create_pending(request, route, service, request_id)
-        self._retry_window(service.name).on_request(request.received_at * 1000.0)
+        window = self._retry_windows.of_service(service.name)
+        window.on_request(request.received_at * 1000.0)
         stop_timeout = asyncio.timeout(None)
         try:
             async with stop_timeout:
@@ -449,7 +446,7 @@
     def _may_retry(self, pending: pending_request.PendingRequest) -> bool:
         assert self._loop is not None
         now_ms = 1000.0 * self._loop.time()
-        window = self._retry_window(pending.service.name)
+        window = self._retry_windows.of_service(pending.service.name)
         allowed = window.try_acquire(self._callbacks.count_live_vms(), now_ms)
         if not allowed and pending.steps[-1:] != ["no-budget"]:
             pending.steps.append("no-budget")
@@ -631,18 +628,3 @@
         )
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wanted_s))
         return messages.local_response(503, "the request has not run", retry_after_s)
-
-    def _retry_window(self, service: str) -> retries.RetryWindow:
-        window = self._retry_window_by_service.get(service)
-        if window is None:
-            window = self._retry_window_by_service[service] = retries.RetryWindow(
-                self._retry_limits.retry_window_ms,
-                self._retry_limits.retry_share,
-                self._retry_limits.retry_allowance,
-                self._started_at,
-            )
-        return window
-
-    def capacity_per_s(self, instance: placement.RegisteredInstance) -> float:
-        """Return the number of requests per second that an instance can serve."""
-        return self.selector.capacity_per_s(instance)
--- a/src/wasabivalve/gateway/instance_selection.py
+++ b/src/wasabivalve/gateway/instance_selection.py
@@ -8,12 +8,20 @@
 from wasabivalve import shared_facts
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.key_leases import view as key_view
+from wasabivalve.metrics import metrics_registry
 from wasabivalve.placement import core as placement
 from wasabivalve.placement import peer_loads, service_times, wait_queue
 from wasabivalve.slot_dispatch import client as slot_client
 from wasabivalve.slot_dispatch import messages as slot_messages
 
-from . import instance_notices, messages, pending_request, pool
+from . import (
+    eligible_instances,
+    instance_notices,
+    messages,
+    pending_request,
+    pool,
+    waiting,
+)
 
 MIN_SERVICE_TIME_SHARE = 0.6
 """A request is abandoned when less than this share of a service time is left."""
@@ -21,12 +29,6 @@
 MOVE_TIME_MARGIN_S = 0.5
 """Part of the announced time of a key's move that is usually not needed."""
 
-MAX_SLEEP_S = 0.05
-"""Longest sleep of a waiting request before it looks for capacity again.
-
-Load estimates change with time, even if no event wakes the request.
-"""
-
 OVER_SHARE_RETRY_AFTER_S = 1.0
 """Retry-After of requests beyond the share that an overloaded holder can serve.
 
@@ -105,6 +107,7 @@
         topology: placement.Topology,
         callbacks: GatewayCallbacks,
         shared_service_times: service_times.ServiceTimes,
+        metrics: metrics_registry.MetricsRegistry,
         slots: slot_client.SlotClient | None = None,
         facts: shared_facts.FactBoard | None = None,
     ) -> None:
@@ -113,6 +116,9 @@
         )
         self._header_format = header_format
         self._topology = topology
+        self.eligible = eligible_instances.EligibleInstances(
+            topology, callbacks.list_instances, callbacks.find_holder, metrics
+        )
         self._slots = slots
         self._callbacks = callbacks
         self._shared_service_times = shared_service_times
@@ -166,6 +172,8 @@
     ) -> Selection | None:
         """Wait for an instance with free capacity; return None to refuse a request."""
         wait_deadline_at = self.wait_deadline_at(pending)
+        if self.eligible.refuses(pending):
+            return None
         if pending.key is None and self._slots is not None:
             answer = await self._acquire_slot(self._slots, pending, wait_deadline_at)
             if isinstance(answer, Selection):
@@ -222,7 +230,7 @@
                         choice = self.choose_instance(pending)
                         if choice is not None:
                             return choice
-                    if not await self._wait_for_event(waiter.wake, wait_deadline_at):
+                    if not await waiting.wait_for_event(waiter.wake, wait_deadline_at):
                         pending.steps.append("no-room")
                         return None
             finally:
@@ -298,17 +306,18 @@
                     if holder is not None
                     else sorted(pending.excluded_instances | ejected | unusable),
                     "" if holder is None else holder.id,
-                    "" if holder is None else self._region_of(holder),
+                    ""
+                    if holder is None
+                    else placement.region_of(
+                        holder.data_centre, self._topology.region_by_data_centre
+                    ),
+                    self.eligible.allowed_regions(pending),
                 )
             )
             if not isinstance(answer, slot_client.SlotGranted):
                 return answer
-            for instance in self._callbacks.list_instances(pending.service.name):
-                is_granted = (instance.id, instance.born) == (
-                    answer.instance,
-                    answer.born,
-                )
-                if is_granted and not instance.draining:
+            for instance in self.eligible.candidates(pending):
+                if (instance.id, instance.born) == (answer.instance, answer.born):
                     now_ms = 1000.0 * self._loop.time()
                     load = self._instance_load(instance, now_ms)
                     if now_ms < load.refuses_until:
@@ -318,11 +327,6 @@
             slots.release(answer.permit, UNUSED_SLOT.result)
         return slot_client.NoDispatcher("granted slots are unusable")
 
-    def _region_of(self, instance: placement.RegisteredInstance) -> str:
-        return placement.region_of(
-            instance.data_centre, self._topology.region_by_data_centre
-        )
-
     def release_slot(self, selection: Selection, use: SlotUse) -> None:
         """Give back the slot of an attempt, if a dispatcher granted it."""
         if selection.permit is not None and self._slots is not None:
@@ -359,6 +363,8 @@
             # The share of a hot key leaves capacity for the other keys of its holder.
             pending.admitted = bool(admitted)
         while True:
+            if self.eligible.refuses(pending):
+                return False
             holder = self._callbacks.find_holder(pending.service.name, pending.key)
             now = self._loop.time()
             is_refusing = (
@@ -378,7 +384,9 @@
                 pending.steps.append("key-lost")
                 pending.retry_after_s = moving_until_ms / 1000.0 - now
                 return False
-            if not await self._wait_for_event(self._holders_changed, wait_deadline_at):
+            if not await waiting.wait_for_event(
+                self._holders_changed, wait_deadline_at
+            ):
                 pending.steps.append("key-moving")
                 return False
 
@@ -411,6 +419,8 @@
         self, pending: pending_request.PendingRequest, wait_deadline_at: float
     ) -> bool:
         """Return whether the holder of a key is ejected until it is too late."""
+        if self.eligible.refuses(pending):
+            return True
         if pending.key is None:
             return False
         holder = self._callbacks.find_holder(pending.service.name, pending.key)
@@ -434,7 +444,7 @@
         waits_ms = [
             max(load.limit_wait_ms(queue_length, now_ms), load.refuses_until - now_ms)
             for load in self._candidate_loads(pending, now_ms)
-            if not load.instance.draining and now_ms >= load.ejected_until
+            if now_ms >= load.ejected_until
         ]
         wait_ms = min(waits_ms, default=0.0)
         if now_ms + wait_ms <= 1000.0 * wait_deadline_at:
@@ -448,21 +458,6 @@
         pending.retry_after_s = OVER_SHARE_RETRY_AFTER_S
         return False
 
-    async def _wait_for_event(
-        self, wake: asyncio.Event, wait_deadline_at: float
-    ) -> bool:
-        """Wait for an event or a short time; return False after the deadline."""
-        left_s = wait_deadline_at - self._loop.time()
-        if left_s <= 0.0:
-            return False
-        wake.clear()
-        try:
-            await asyncio.wait_for(wake.wait(), min(MAX_SLEEP_S, left_s))
-        except TimeoutError:
-            # Load estimates change with time, so an instance may have capacity now.
-            pass
-        return True
-
     def choose_instance(
         self, pending: pending_request.PendingRequest
     ) -> Selection | None:
@@ -489,13 +484,10 @@
         self, pending: pending_request.PendingRequest, now_ms: float
     ) -> list[placement.InstanceLoad]:
         """Return the loads of the instances that may serve a request."""
-        instances = self._callbacks.list_instances(pending.service.name)
-        if pending.key is not None:
-            holder = self._callbacks.find_holder(pending.service.name, pending.key)
-            instances = [
-                instance for instance in instances if instance.id == holder.instance
-            ]
-        return [self._instance_load(instance, now_ms) for instance in instances]
+        return [
+            self._instance_load(instance, now_ms)
+            for instance in self.eligible.candidates(pending)
+        ]
 
     def record_response(
         self,
--- a/src/wasabivalve/metrics/core.py
+++ b/src/wasabivalve/metrics/core.py
@@ -12,6 +12,7 @@
     ("request.retry", "counter", "requests with more than one step in their trail"),
     ("request.in_work", "gauge", "caller connections with a request in progress"),
     ("request.caller_left", "counter", "requests whose caller disconnected early"),
+    ("request.ineligible", "counter", "refusals, as no instance may serve a request"),
     ("upstream.handshake", "gauge", "connections opened to instances since the start"),
     ("upstream.over_limit", "counter", "responses that exceeded a limit"),
     ("upstream.ended", "counter", "connections that ended under a request"),
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -23,7 +23,16 @@
 from wasabivalve.vm_link import copies, exchange, vm_directory
 
 from . import desired_state as desired_state_decoder
-from . import facts, grants, headers, instances, membership, settings, store
+from . import (
+    facts,
+    grants,
+    headers,
+    instance_views,
+    instances,
+    membership,
+    settings,
+    store,
+)
 
 DESIRED_STATE_TOPIC = "keyed.op"
 DESIRED_STATE_KEY = "config"
@@ -193,13 +202,16 @@
             lambda news: self._gateway.on_shared_facts(news),
             lambda: self._exchange.follower_by_topic[facts.FACTS_TOPIC].next_offset,
         )
-        self._leaving_instances = shared_facts.LeavingInstances(
-            self._fact_sharing.board
+        self._instance_views = instance_views.InstanceViews(
+            lambda: self._instance_directory.instance_by_id,
+            shared_facts.LeavingInstances(self._fact_sharing.board),
+            vm_settings.region_by_data_centre,
+            self._now_ms,
         )
         self._dispatch_node = dispatch_node.DispatchNode(
             vm_settings.vm,
             topology,
-            self._list_instances,
+            self._instance_views.list_instances,
             known_vms.rank_vms,
             self._exchange.send_to_vm,
             self.is_ready,
@@ -227,7 +239,7 @@
                 vm_settings.retry_allowance,
             ),
             instance_selection.GatewayCallbacks(
-                self._list_instances,
+                self._instance_views.list_instances,
                 self._find_holder,
                 lambda instance: self._key_view.admit_request(instance, self._now_ms()),
                 lambda service, key: self._key_view.admit_key(
@@ -261,9 +273,9 @@
             ),
             leases.ControllerDependencies(
                 self._partitioned_services,
-                self._find_instance,
-                self._list_instances,
-                self._gateway.capacity_per_s,
+                self._instance_views.find_for_keys,
+                self._instance_views.list_for_keys,
+                self._gateway.selector.capacity_per_s,
                 lambda service: self._key_loads.service_loads(service, self._now_ms()),
                 self._apply_assignment_map,
                 self._exchange.broadcast_moving_ranges,
@@ -542,6 +554,7 @@
             return
         self._desired_state = state
         self._copies.put(DESIRED_STATE_TOPIC, record)
+        self._instance_views.set_desired_state(state)
         self._gateway.set_desired_state(state)
         events.emit(
             500, version=state.version, offset=record.offset, routes=len(state.routes)
@@ -600,27 +613,6 @@
             draining=instance.draining,
         )
 
-    def _list_instances(self, service: str) -> list[placement.RegisteredInstance]:
-        return [
-            self._with_notices(instance)
-            for instance in self._instance_directory.instance_by_id.values()
-            if instance.service == service
-        ]
-
-    def _find_instance(self, instance_id: str) -> placement.RegisteredInstance | None:
-        instance = self._instance_directory.instance_by_id.get(instance_id)
-        return None if instance is None else self._with_notices(instance)
-
-    def _with_notices(
-        self, instance: placement.RegisteredInstance
-    ) -> placement.RegisteredInstance:
-        """Return an instance as it is registered, or as leaving if it says so."""
-        if self._leaving_instances.is_leaving(
-            instance.id, instance.born, self._now_ms()
-        ):
-            return instance._replace(draining=True)
-        return instance
-
     def _on_reachable(self) -> None:
         self._instance_directory.on_reachable(self._now_ms())
 
--- a/src/wasabivalve/platform/desired_state.py
+++ b/src/wasabivalve/platform/desired_state.py
@@ -73,8 +73,8 @@
         raise MalformedDesiredState(
             f"{path}.path_prefix is {path_prefix!r}, expected a leading and trailing /"
         )
-    # ``safe`` requests may run more than once, requests of any other kind at most once.
-    idempotent = _read_field(spec, "kind", str, path) == "safe"
+    # Requests of these kinds may run more than once, those of any other at most once.
+    idempotent = _read_field(spec, "kind", str, path) in ("safe", "download")
     return desired_state.RouteConfig(
         name=name,
         host=_read_field(spec, "host", str, path).lower(),
@@ -85,9 +85,24 @@
         timeout_ms=1000.0 * _read_number(spec, "timeout_s", path),
         target_latency_ms=1000.0 * _read_number(spec, "target_latency_s", path),
         rank=int(_read_number(spec, "priority", path)),
+        allowed_regions=_decode_allowed_regions(spec, path),
     )
 
 
+def _decode_allowed_regions(spec: dict[str, Any], path: str) -> frozenset[str]:
+    """Return the regions of a route; missing, null and empty lists allow all."""
+    if spec.get("allowed_regions") is None:
+        return frozenset()
+    regions = _read_field(spec, "allowed_regions", list, path)
+    for index, region in enumerate(regions):
+        if not isinstance(region, str) or not region:
+            # A dropped entry could allow a region that the operator excludes.
+            raise MalformedDesiredState(
+                f"{path}.allowed_regions[{index}] is {region!r:.40}, expected a name"
+            )
+    return frozenset(regions)
+
+
 def _decode_weighted_services(
     spec: dict[str, Any], path: str
 ) -> tuple[desired_state.WeightedService, ...]:
--- a/src/wasabivalve/platform/tests/test_decoding.py
+++ b/src/wasabivalve/platform/tests/test_decoding.py
@@ -220,3 +220,22 @@
     """An entry of another writer must not end the process that reads the list."""
     with pytest.raises(instances.MalformedInstanceEntry):
         instances.decode("i-1", ODD_ENTRIES[name])
+
+
+def test_regions_of_a_route_are_decoded():
+    """An entry that was dropped could allow a region that the operator excludes."""
+    for value, regions in ((["coast"], {"coast"}), ([], set()), (None, set())):
+        route = {**ROUTE, "allowed_regions": value}
+        (decoded,) = desired_state.decode(encode(route=route)).routes
+        assert decoded.allowed_regions == regions
+    assert desired_state.decode(encode()).routes[0].allowed_regions == set()
+    for value in ("coast", [7], [""]):
+        with pytest.raises(desired_state.MalformedDesiredState, match="allowed_regio"):
+            desired_state.decode(encode(route={**ROUTE, "allowed_regions": value}))
+
+
+def test_kinds_that_may_run_more_than_once():
+    """A download was not retried; any other kind must not be."""
+    for kind, idempotent in (("safe", 1), ("download", 1), ("unsafe", 0), ("new", 0)):
+        (route,) = desired_state.decode(encode(route={**ROUTE, "kind": kind})).routes
+        assert route.idempotent == bool(idempotent)
--- a/src/wasabivalve/slot_dispatch/client.py
+++ b/src/wasabivalve/slot_dispatch/client.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from wasabivalve import events
+from wasabivalve.placement import eligibility
 
 from . import messages
 
@@ -54,7 +55,7 @@
     """Describe a request that needs a slot; times are in ms from now.
 
     ``only`` names the one instance that can serve it, in the region ``region``; without
-    it, any instance of the region of this VM or another one can.
+    it, any instance in one of ``allowed_regions`` can, of any region if that is empty.
     """
 
     service: str
@@ -67,6 +68,7 @@
     excluded: Sequence[str]
     only: str = ""
     region: str = ""
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class SlotGranted(NamedTuple):
@@ -111,7 +113,7 @@
     """Hold the requests of this VM that wait for slots, and the slots that it holds.
 
     ``rank_dispatchers`` returns the VMs that may assign the slots of a service in a
-    region, in the order in which all VMs ask them; "" is the region of this VM.
+    region, in the order in which all VMs ask them; ``region`` is that of this VM.
     ``send`` sends a message to a VM.
     """
 
@@ -122,9 +124,11 @@
         rank_dispatchers: Callable[[str, str], Sequence[str]],
         send: Callable[[str, messages.DispatchMessage], None],
         generator: random.Random,
+        region: str,
     ) -> None:
         self._vm = vm
         self._data_centre = data_centre
+        self._region = region
         self._rank_dispatchers = rank_dispatchers
         self._send = send
         self._loop = asyncio.get_running_loop()
@@ -190,7 +194,8 @@
         may_go_elsewhere: bool,
     ) -> messages.SlotReply | None:
         """Send a request until a reply settles it; return None for silence."""
-        timeout_s = REPLY_TIMEOUT_S if may_go_elsewhere else REMOTE_REPLY_TIMEOUT_S
+        is_near = may_go_elsewhere and self._regions_to_ask(demand)[0] == self._region
+        timeout_s = REPLY_TIMEOUT_S if is_near else REMOTE_REPLY_TIMEOUT_S
         self._used_at_by_dispatcher[dispatcher] = self._loop.time()
         unanswered = 0
         give_up_at = self._give_up_at(demand, started_at)
@@ -212,6 +217,7 @@
                     list(demand.excluded),
                     may_go_elsewhere,
                     demand.only,
+                    sorted(demand.allowed_regions),
                 ),
             )
             unanswered += 1
@@ -295,13 +301,20 @@
 
     def _choose_dispatcher(self, demand: SlotDemand) -> str | None:
         now = self._loop.time()
-        ranked_vms = self._rank_dispatchers(demand.service, demand.region)
-        for vm in ranked_vms[: MAX_SUSPECTED + 1]:
-            suspicion = self._suspicion_by_vm.get(vm)
-            if suspicion is None or now >= suspicion.until:
-                return vm
+        for region in self._regions_to_ask(demand):
+            ranked_vms = self._rank_dispatchers(demand.service, region)
+            for vm in ranked_vms[: MAX_SUSPECTED + 1]:
+                suspicion = self._suspicion_by_vm.get(vm)
+                if suspicion is None or now >= suspicion.until:
+                    return vm
         return None
 
+    def _regions_to_ask(self, demand: SlotDemand) -> list[str]:
+        """Return the regions whose dispatchers may assign a slot, in order."""
+        if demand.region:
+            return [demand.region]
+        return eligibility.order_regions(demand.allowed_regions, self._region)
+
     def _suspect(self, dispatcher: str, service: str) -> None:
         now = self._loop.time()
         before = self._suspicion_by_vm.get(dispatcher)
--- a/src/wasabivalve/slot_dispatch/core.py
+++ b/src/wasabivalve/slot_dispatch/core.py
@@ -15,6 +15,7 @@
 
 from wasabivalve import shared_facts
 from wasabivalve.placement import core as placement
+from wasabivalve.placement import eligibility
 
 from . import messages, slot_queue
 
@@ -73,6 +74,14 @@
     reply: messages.SlotReply
 
 
+class _FreeSlotsReport(NamedTuple):
+    """Hold the free slots of another region, as reported at a time in ms."""
+
+    region: str
+    free_by_service: dict[str, int]
+    reported_at: float
+
+
 class _Grant:
     """Hold a granted slot; times are in ms."""
 
@@ -118,7 +127,7 @@
         self._load_by_instance: dict[str, placement.InstanceLoad] = {}
         self._service_time_ms_by_route: dict[str, float] = {}
         self._exchange_kb_by_route: dict[str, float] = {}
-        self._free_by_service_by_vm: dict[str, tuple[dict[str, int], float]] = {}
+        self._report_by_vm: dict[str, _FreeSlotsReport] = {}
         self._used_at_by_service: dict[str, float] = {}
         self._failing_vms: set[str] = set()
 
@@ -199,7 +208,9 @@
     def on_free_slots(self, report: messages.FreeSlots, now: float) -> None:
         """Record the free slots of another region."""
         if report.region != self._region:
-            self._free_by_service_by_vm[report.vm] = dict(report.free_by_service), now
+            self._report_by_vm[report.vm] = _FreeSlotsReport(
+                report.region, dict(report.free_by_service), now
+            )
 
     def free_by_service(self, now: float) -> dict[str, int]:
         """Return the free slots of services that were asked for a short time ago."""
@@ -341,6 +352,8 @@
 
     def _has_usable_instance(self, request: messages.SlotRequest, now: float) -> bool:
         """Return whether an instance of this region may get a request, if not now."""
+        if not eligibility.allows_region(request.allowed_regions, self._region):
+            return False
         instances = (
             instance
             for instance in self._own_instances(request.service)
@@ -368,10 +381,9 @@
 
     def _own_instances(self, service: str) -> Iterable[placement.RegisteredInstance]:
         for instance in self._list_instances(service):
-            region = placement.region_of(
-                instance.data_centre, self._region_by_data_centre
-            )
-            if region == self._region and not instance.draining:
+            if eligibility.may_serve(
+                instance, (self._region,), self._region_by_data_centre
+            ):
                 yield instance
 
     def _find_free_region(
@@ -384,13 +396,15 @@
         if not request.may_go_elsewhere:
             return None
         best_vm, best_free = "", min_spare_slots
-        for vm, (free_by_service, reported_at) in self._free_by_service_by_vm.items():
-            free = free_by_service.get(request.service, -1)
-            if now < reported_at + FREE_SLOTS_TTL_MS and free > best_free:
+        for vm, report in self._report_by_vm.items():
+            if not eligibility.allows_region(request.allowed_regions, report.region):
+                continue
+            free = report.free_by_service.get(request.service, -1)
+            if now < report.reported_at + FREE_SLOTS_TTL_MS and free > best_free:
                 best_vm, best_free = vm, free
         if not best_vm:
             return None
-        self._free_by_service_by_vm[best_vm][0][request.service] = best_free - 1
+        self._report_by_vm[best_vm].free_by_service[request.service] = best_free - 1
         reply = messages.SlotReply(
             self._vm, request.number, messages.ReplyState.ELSEWHERE, best_vm
         )
--- a/src/wasabivalve/slot_dispatch/messages.py
+++ b/src/wasabivalve/slot_dispatch/messages.py
@@ -45,7 +45,8 @@
 
     ``target_left_ms`` is the time until the target latency, ``max_wait_ms`` the longest
     time in the queue, ``time_left_ms`` the time until the request fails. ``only`` names
-    the holder of the request's key, which no other instance can replace.
+    the holder of the request's key, which no other instance can replace. Only instances
+    in ``allowed_regions`` may serve the request; empty allows all regions.
     """
 
     vm: str
@@ -61,6 +62,7 @@
     excluded: list[str]
     may_go_elsewhere: bool
     only: str = ""
+    allowed_regions: list[str] = []
 
 
 class SlotReply(msgspec.Struct, array_like=True, frozen=True, tag="sr"):
--- a/src/wasabivalve/slot_dispatch/node.py
+++ b/src/wasabivalve/slot_dispatch/node.py
@@ -50,9 +50,10 @@
         self.client = client.SlotClient(
             vm,
             topology.data_centre,
-            lambda service, other: rank_dispatchers(service, other or region),
+            rank_dispatchers,
             self._send,
             generator,
+            region,
         )
         self._task: asyncio.Task[None] | None = None
 
--- a/src/wasabivalve/slot_dispatch/tests/test_dispatcher.py
+++ b/src/wasabivalve/slot_dispatch/tests/test_dispatcher.py
@@ -326,3 +326,28 @@
     most = max(sum(1 for at in sent if start <= at < start + 4_000.0) for start in sent)
     assert most <= 1.5 * limit_per_s * 4.0 + 5.0
     assert len(sent) > 0.7 * limit_per_s * 20.0
+
+
+def test_dispatcher_names_no_region_that_a_request_excludes():
+    """The reports of free slots sent bookings to a region that their route excludes."""
+    dispatcher = create_dispatcher(instance("i-1"), instance("far", "b1"))
+    for number in (1, 2):
+        dispatcher.on_request(request(number), 0.0)
+    dispatcher.on_free_slots(messages.FreeSlots("vm-b", "b", {"desk": 9}), 0.0)
+    dispatcher.on_free_slots(messages.FreeSlots("vm-c", "c", {"desk": 5}), 0.0)
+    own_only = request(3, allowed_regions=["a"])
+    assert states(dispatcher.on_request(own_only, 1.0)) == ["queued"]
+    several = dispatcher.on_request(request(4, allowed_regions=["a", "c"]), 1.0)
+    assert states(several) == ["elsewhere"]
+    assert several[0].reply.instance == "vm-c"
+    assert dispatcher.on_request(request(5), 1.0)[0].reply.instance == "vm-b"
+
+
+def test_dispatcher_of_an_excluded_region_grants_nothing():
+    """A VM with an older configuration, or a late datagram, may ask the wrong one."""
+    dispatcher = create_dispatcher(instance("i-1"))
+    asked = request(1, allowed_regions=["b"])
+    assert states(dispatcher.on_request(asked, 0.0)) == ["no_instance"]
+    dispatcher.on_free_slots(messages.FreeSlots("vm-b", "b", {"desk": 1}), 0.0)
+    asked = request(2, allowed_regions=["b"])
+    assert states(dispatcher.on_request(asked, 0.0)) == ["elsewhere"]
--- a/src/wasabivalve/slot_dispatch/tests/test_node.py
+++ b/src/wasabivalve/slot_dispatch/tests/test_node.py
@@ -327,3 +327,19 @@
 
     answers = run(scenario, instance("i-1"))
     assert [answer.instance for answer in answers] == ["i-1", "i-1"]
+
+
+def test_request_for_another_region_asks_the_dispatcher_there():
+    """The dispatcher of the own region named whichever region had free slots."""
+
+    async def scenario(link):
+        vm = link.node_by_vm["vm-1"].client
+        for regions, name in (("b", "far"), ("a", "near"), ("ab", "near")):
+            granted = await vm.acquire(demand(allowed_regions=frozenset(regions)))
+            assert granted.instance == name
+        # Its silence leaves the request to this VM, which knows the regions as well.
+        link.down.add("vm-9")
+        answer = await vm.acquire(demand(allowed_regions=frozenset("b")))
+        assert isinstance(answer, client.NoDispatcher)
+
+    run(scenario, instance("near"), instance("far", "b1"))
