Process pipelined requests of a connection concurrently

Cause: a connection served its requests one after another, so that requests behind one of 400 ms lost that time. An error behind good requests cut them, a request was read behind one that closes the connection, and a stopping VM answered only the first of the requests that it had read.

Change: gateway/response_order.py decides which requests of a connection run and whose response is next; gateway/response_sender.py has them handled and writes the responses; gateway/caller_connection.py only reads. Whether a request may run twice is asked of the route table, again right before it is forwarded. A response that waits counts in ReceiveBuffers, and a request whose response would have no room is not forwarded. While reading is paused, the end of the connection is polled. The last response is followed by a half-close, as unread requests would reset the connection. An instance's requests are counted when it is chosen: eight requests that arrived together all went to an instance of two slots. Checks of responses and the log of outcomes move out of gateway/core.py.

--- a/src/wasabivalve/desired_state/core.py
+++ b/src/wasabivalve/desired_state/core.py
@@ -93,6 +93,11 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def may_run_twice(self, host: str, path: str) -> bool:
+        """Return whether a request may run twice; one without a route never runs."""
+        route = self.find(host, path)
+        return route is None or route.idempotent
+
 
 class WeightedRoundRobin:
     """Split the requests of each route between its services by their weights.
--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -63,8 +63,9 @@
         "request was refused; no desired state, unknown service, or stopping",
     ),
     (411, "INFO", "request matches no route"),
-    (412, "INFO", "caller disconnected before the response"),
+    (412, "INFO", "request was cancelled; its caller left or its connection closes"),
     (413, "WARNING", "request failed or was refused"),
+    (414, "INFO", "requests behind the last response of a connection were dropped"),
     (420, "INFO", "request was answered"),
     # Configuration, 500 to 599.
     (500, "INFO", "configuration is in force"),
--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -1,9 +1,8 @@
-"""Read the requests of one caller's connection and write their responses."""
+"""Read the requests of one caller's connection."""
 
 import asyncio
 import math
-from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import httptools
@@ -11,10 +10,7 @@
 from wasabivalve import events
 from wasabivalve.desired_state import core as desired_state
 
-from . import messages, receiving
-
-MAX_PIPELINED_REQUESTS = 16
-"""Requests queued behind the one in progress before reading pauses."""
+from . import disconnects, messages, response_sender
 
 DEFAULT_LIMITS = desired_state.CallerLimits(16_384, 67_108_864, 5_000.0, 15_000.0)
 """Limits that apply until the first desired state is known."""
@@ -28,20 +24,19 @@
 FULL_BUFFERS_RETRY_AFTER_S = 0.5
 """Retry-After of requests for which the receive buffers have no room."""
 
-Handler = Callable[[messages.HttpRequest], Awaitable[messages.HttpResponse]]
-
+LINGER_S = 1.0
+"""Time for which bytes of the caller are discarded after the last response.
 
-class RequestServer(Protocol):
-    """Handle the requests of connections; implemented by the gateway."""
+Closing with unread bytes resets the connection, and a caller that has sent further
+requests would lose the responses that it has not read yet.
+"""
 
-    stopping: bool
-    buffers: receiving.ReceiveBuffers
+DISCONNECT_CHECK_S = 0.2
+"""Interval at which a connection that is not read is checked for its caller."""
 
-    def limits(self) -> desired_state.CallerLimits:
-        """Return the limits that apply to callers."""
 
-    async def handle(self, request: messages.HttpRequest) -> messages.HttpResponse:
-        """Return the response to a request."""
+class RequestServer(response_sender.RequestHandler, Protocol):
+    """Handle the requests of connections; implemented by the gateway."""
 
     def on_open(self, connection: "CallerConnection") -> None:
         """Record that a connection was opened."""
@@ -51,7 +46,7 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """Serve the requests of a connection one after the other."""
+    """Read the requests of a connection; ``ResponseSender`` answers them."""
 
     def __init__(self, server: RequestServer) -> None:
         self._server = server
@@ -59,22 +54,21 @@
         self._transport: asyncio.Transport | None = None
         self._caller = ""
         self._parser: Any = httptools.HttpRequestParser(self)
-        self._queue: deque[messages.HttpRequest] = deque()
-        self._task: asyncio.Task[None] | None = None
-        self._reading_paused = False
+        self._responses = response_sender.ResponseSender(server, self)
+        self._disconnect_check: asyncio.TimerHandle | None = None
         self._closing = False
+        self._input_ended = False
+        self._lingering = False
         self._announced_idle_s = math.inf
         self._timer: asyncio.TimerHandle | None = None
         self._receiving = False
         self._header_bytes = 0
-        self._writable = asyncio.Event()
-        self._writable.set()
         self._reset_message()
 
     @property
     def busy(self) -> bool:
-        """Return whether a request is being read or served."""
-        return self._receiving or self._task is not None or bool(self._queue)
+        """Return whether a request is being read or served, or its response is sent."""
+        return self._receiving or self._responses.busy or self._lingering
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout."""
@@ -82,26 +76,77 @@
         self._transport = transport
         address = transport.get_extra_info("peername")
         self._caller = address[0] if address else ""
+        self._responses.start(transport)
         self._server.on_open(self)
         self._start_idle_timeout()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request in progress."""
+        """Cancel the requests in progress."""
         self._closing = True
         self._stop_timer()
-        self._queue.clear()
+        self._stop_disconnect_check()
+        self._responses.cancel()
         self._server.buffers.release(self)
-        if self._task is not None:
-            self._task.cancel()
         self._server.on_closed(self)
 
     def pause_writing(self) -> None:
-        """Serve no further request until the caller has read its responses."""
-        self._writable.clear()
+        """Write no further response until the caller has read its responses."""
+        self._responses.on_unwritable()
 
     def resume_writing(self) -> None:
-        """Serve further requests."""
-        self._writable.set()
+        """Write further responses."""
+        self._responses.on_writable()
+
+    def end_input(self) -> None:
+        """Discard all bytes from now on, as no further request is answered."""
+        self._input_ended = True
+        self._receiving = False
+        self._stop_timer()
+        self._server.buffers.release_incomplete(self)
+        self._reset_message()
+
+    def pause_reading(self) -> None:
+        """Stop reading, as enough requests are in progress."""
+        if self._disconnect_check is None and self._transport is not None:
+            # The caller must not be timed out for bytes that are not read.
+            self._stop_timer()
+            self._transport.pause_reading()
+            self._check_disconnect()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if self._disconnect_check is None or self._transport is None:
+            return
+        self._stop_disconnect_check()
+        self._transport.resume_reading()
+        if self._receiving:
+            self._start_receive_timeout()
+
+    def on_all_answered(self, announced_idle_s: float | None) -> None:
+        """Wait for the next request; times in s."""
+        if announced_idle_s is not None:
+            self._announced_idle_s = announced_idle_s
+        if self._continue_expected:
+            self._send_continue()
+        if not self._receiving and not self._input_ended:
+            self._start_idle_timeout()
+
+    def _check_disconnect(self) -> None:
+        """Notice that the caller left although nothing is read from it."""
+        if self._transport is None:
+            return
+        if disconnects.has_left(self._transport):
+            self._disconnect_check = None
+            self.abort()
+            return
+        self._disconnect_check = self._loop.call_later(
+            DISCONNECT_CHECK_S, self._check_disconnect
+        )
+
+    def _stop_disconnect_check(self) -> None:
+        if self._disconnect_check is not None:
+            self._disconnect_check.cancel()
+            self._disconnect_check = None
 
     def on_evicted(self) -> None:
         """Refuse the request that is being read, as the receive buffers are full."""
@@ -119,6 +164,22 @@
         if self._transport is not None:
             self._transport.close()
 
+    def finish(self) -> None:
+        """Close after the last response, when the caller closes or after a time."""
+        self._closing = True
+        self.end_input()
+        if self._transport is None or self._transport.is_closing():
+            return
+        self.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self._transport.abort()
+            return
+        self._lingering = True
+        self._start_timer(LINGER_S, self._transport.close)
+
     def abort(self) -> None:
         """Close the connection without writing buffered bytes."""
         self._closing = True
@@ -127,7 +188,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the parser."""
-        if self._closing:
+        if self._closing or self._input_ended:
             return
         if not self._receiving:
             self._receiving = True
@@ -136,7 +197,7 @@
         if not self._headers_done:
             self._header_bytes += len(data)
         self._server.buffers.add(self, len(data))
-        if self._closing:
+        if self._closing or self._input_ended:
             return
         try:
             self._parser.feed_data(data)
@@ -150,8 +211,13 @@
 
     def on_message_begin(self) -> None:
         """Start reading a request."""
+        if self._input_ended:
+            return
         self._receiving = True
         self._reset_message()
+        if self._timer is None:
+            # The request begins in the same bytes in which the one before ended.
+            self._start_header_timeout()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
@@ -163,6 +229,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the announced body size and send 100 Continue if it is expected."""
+        if self._input_ended:
+            return
         self._headers_done = True
         self._stop_timer()
         self._start_body_timeout()
@@ -172,10 +240,20 @@
                 self._reject(413, f"body is larger than {max_bytes} bytes")
                 return
             if name == b"expect" and value.lower() == b"100-continue":
-                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._continue_expected = True
+                # An earlier response must not be interrupted.
+                if not self._responses.busy:
+                    self._send_continue()
+
+    def _send_continue(self) -> None:
+        self._continue_expected = False
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        if self._input_ended:
+            return
         self._received_body_bytes += len(body)
         if self._received_body_bytes > self._server.limits().body_bytes:
             self._reject(413, "body is too large")
@@ -183,24 +261,25 @@
         self._chunks.append(body)
 
     def on_message_complete(self) -> None:
-        """Serve the request, or queue it behind the one in progress."""
-        if self._closing:
+        """Serve the request."""
+        if self._closing or self._input_ended:
             return
         self._stop_timer()
         self._receiving = False
+        if self._parser.should_upgrade():
+            self._reject(400, "upgrade is not supported")
+            return
         request = self._build_request()
         if request is None:
             self._reject(400, "the target or the host is malformed")
             return
         self._headers_done = False
         self._header_bytes = 0
-        self._server.buffers.keep_complete(self)
-        self._queue.append(request)
-        if len(self._queue) >= MAX_PIPELINED_REQUESTS and self._transport is not None:
-            self._reading_paused = True
-            self._transport.pause_reading()
-        if self._task is None:
-            self._task = self._loop.create_task(self._serve_queue())
+        self._continue_expected = False
+        held_bytes = self._server.buffers.keep_complete(self)
+        if not request.keep_alive:
+            self.end_input()
+        self._responses.serve(request, held_bytes)
 
     def _build_request(self) -> messages.HttpRequest | None:
         try:
@@ -224,60 +303,14 @@
             self._caller,
         )
 
-    async def _serve_queue(self) -> None:
-        try:
-            while self._queue and not self._closing:
-                request = self._queue.popleft()
-                if self._reading_paused and self._transport is not None:
-                    self._reading_paused = False
-                    self._transport.resume_reading()
-                response = await self._server.handle(request)
-                self._write_response(request, response)
-                if not self._queue:
-                    self._server.buffers.release_complete(self)
-                await self._writable.wait()
-        finally:
-            self._task = None
-        if not self._closing and not self._receiving:
-            self._start_idle_timeout()
-
-    def _write_response(
-        self, request: messages.HttpRequest, response: messages.HttpResponse
-    ) -> None:
-        keep_open = (
-            request.keep_alive
-            and not response.close_delimited
-            and not self._server.stopping
-        )
-        connection_headers: messages.Headers = []
-        if keep_open:
-            self._announced_idle_s = self._server.limits().idle_timeout_ms / 1000.0
-            if self._announced_idle_s >= 1.0:
-                value = b"timeout=%d" % int(self._announced_idle_s)
-                connection_headers.append((b"keep-alive", value))
-        else:
-            connection_headers.append((b"connection", b"close"))
-        for_head_request = request.method == b"HEAD"
-        self._write(
-            messages.encode_response(response, connection_headers, for_head_request)
-        )
-        if not keep_open:
-            self.close()
-
     def _reject(
         self, status: int, text: str, retry_after_s: float | None = None
     ) -> None:
-        if self._closing:
+        """Refuse what is being read; the requests before it are answered first."""
+        if self._closing or self._input_ended:
             return
-        if self._task is None:
-            response = messages.local_response(status, text, retry_after_s)
-            connection_headers = [(b"connection", b"close")]
-            self._write(messages.encode_response(response, connection_headers, False))
-        self.close()
-
-    def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+        self.end_input()
+        self._responses.refuse(messages.local_response(status, text, retry_after_s))
 
     def _reset_message(self) -> None:
         self._target = b""
@@ -285,6 +318,7 @@
         self._chunks: list[bytes] = []
         self._received_body_bytes = 0
         self._headers_done = False
+        self._continue_expected = False
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
@@ -305,6 +339,12 @@
         timeout_s = self._server.limits().header_timeout_ms / 1000.0
         self._start_timer(timeout_s, lambda: self._reject(408, "header took too long"))
 
+    def _start_receive_timeout(self) -> None:
+        if self._headers_done:
+            self._start_body_timeout()
+        else:
+            self._start_header_timeout()
+
     def _start_body_timeout(self) -> None:
         timeout_s = self._server.limits().idle_timeout_ms / 1000.0
         self._start_timer(timeout_s, lambda: self._reject(408, "body took too long"))
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Sequence
 
-from wasabivalve import events, quarantine, retries, shared_facts
+from wasabivalve import events, quarantine, shared_facts
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.metrics import metrics_registry
 from wasabivalve.placement import core as placement
@@ -14,11 +14,14 @@
 from . import (
     caller_connection,
     crash_watch,
+    instance_responses,
     instance_selection,
     messages,
+    outcome_log,
     pending_request,
     pool,
     receiving,
+    response_order,
     retry_windows,
     sending,
     upstream_connection,
@@ -81,6 +84,13 @@
         self.refuse_from = math.inf
         self.metrics = metrics_registry.MetricsRegistry()
         self.buffers = receiving.ReceiveBuffers(receive_buffer_bytes)
+        self.pipelining = response_order.Pipelining(
+            lambda request: (
+                self._route_table is None
+                or self._route_table.may_run_twice(request.host, request.path)
+            ),
+            self.metrics.count,
+        )
         self.pool = pool.ConnectionPool(message_limits, self.buffers)
         self._header_format = header_format
         self.selector = instance_selection.InstanceSelector(
@@ -242,40 +252,12 @@
             raise
         finally:
             self._stop_timeouts.discard(stop_timeout)
-        self._record_outcome(pending, response, version)
-        return response
-
-    def _record_outcome(
-        self,
-        pending: pending_request.PendingRequest,
-        response: messages.HttpResponse,
-        version: int,
-    ) -> None:
-        """Log and count the outcome of a request."""
-        assert self._loop is not None
-        duration_ms = 1000.0 * (self._loop.time() - pending.request.received_at)
         local = response.header(self._header_format.origin_proof) is None
-        refused = local and response.status == 503
-        fields = {} if pending.key is None else {"key": pending.key}
-        events.emit(
-            420 if response.status < 500 else 413,
-            request=pending.request_id,
-            route=pending.route.name,
-            service=pending.service.name,
-            version=version,
-            **fields,
-            status=response.status,
-            own=local,
-            ms=round(duration_ms),
-            trail=";".join(pending.steps),
+        assert self._loop is not None
+        outcome_log.record_outcome(
+            self.metrics, pending, response, local, version, self._loop.time()
         )
-        outcome = "request.unknown" if local else "request.done"
-        if refused:
-            outcome = "request.not_run"
-        self.metrics.count(outcome, str(response.status))
-        self.metrics.timing("request.duration", duration_ms, pending.service.name)
-        if len(pending.steps) > 1:
-            self.metrics.count("request.retry", str(response.status))
+        return response
 
     def _create_pending(
         self,
@@ -398,12 +380,19 @@
         assert self._loop is not None
         slot_use = instance_selection.UNUSED_SLOT
         began_at = 1000.0 * self._loop.time()
+        requests_at_start = choice.load.estimated_requests(began_at)
+        # Of requests that arrive together, each must see the choices of the others.
+        choice.load.in_flight += 1
+        counted_by_sender = False
 
         async def attempt() -> messages.HttpResponse | None:
-            nonlocal slot_use
+            nonlocal slot_use, counted_by_sender
+            counted_by_sender = True
             live_vm_count = self._callbacks.count_live_vms()
             try:
-                result = await self._sender.send(pending, choice.load, live_vm_count)
+                result = await self._sender.send(
+                    pending, choice.load, requests_at_start, live_vm_count
+                )
             except asyncio.CancelledError:
                 self._crash_watch.on_unanswered(pending, choice.load.instance, began_at)
                 raise
@@ -411,8 +400,14 @@
             return self._evaluate(pending, choice.load, result, began_at)
 
         task = self._loop.create_task(attempt())
-        # A task that is cancelled before its first step runs no code of its own.
-        task.add_done_callback(lambda _: self.selector.release_slot(choice, slot_use))
+
+        def on_done(_: object) -> None:
+            # A task that is cancelled before its first step runs no code of its own.
+            if not counted_by_sender:
+                choice.load.in_flight -= 1
+            self.selector.release_slot(choice, slot_use)
+
+        task.add_done_callback(on_done)
         return task
 
     def _start_hedge(
@@ -507,7 +502,7 @@
             pending.attempts -= 1
             self._on_refusal(pending, instance)
             return None
-        if self._is_invalid(outcome):
+        if instance_responses.is_invalid(outcome, self._header_format):
             pending.steps.append("garbled")
             pending.may_have_run = True
             pending.excluded_instances.add(instance.id)
@@ -524,15 +519,18 @@
                 pending.excluded_instances.add(instance.id)
                 pending.last_error_response = outcome
                 return None
-        return self._to_caller_response(outcome)
+        return instance_responses.caller_response(outcome, self._header_format)
 
     async def _wait_for_verdict(self, pending: pending_request.PendingRequest) -> bool:
         """Return whether a request may be sent once an instance has capacity.
 
-        Wait while evidence is on its way that it ends no instances.
+        Wait while its response has no room, or while evidence is on its way that it
+        ends no instances.
         """
         assert self._loop is not None
         wait_deadline_at = self.selector.wait_deadline_at(pending)
+        if not await pending.wait_for_room(wait_deadline_at):
+            return False
         while True:
             now = self._loop.time()
             admission = self._crash_watch.admission(pending, 1000.0 * now)
@@ -558,7 +556,7 @@
         """Return whether a request may be sent to an instance, else free its slot."""
         admitted = False
         try:
-            admitted = await self._is_admitted(pending)
+            admitted = pending.has_room and await self._is_admitted(pending)
         finally:
             if not admitted:
                 self.selector.release_slot(choice, instance_selection.UNUSED_SLOT)
@@ -588,35 +586,15 @@
         pending.refusing_instance = instance.id
         pending.refusing_until = self._loop.time() + KEY_MOVE_RETRY_DELAY_S
 
-    def _is_invalid(self, response: messages.HttpResponse) -> bool:
-        if response.header(b"content-encoding") is not None:
-            return True
-        if response.status == retries.MISDIRECTED_STATUS or (
-            response.header(self._header_format.not_run) is not None
-        ):
-            # It claims that the request was not run, but does not prove it.
-            return True
-        success = 200 <= response.status < 300
-        return success and response.header(self._header_format.origin_proof) is None
-
-    def _to_caller_response(
-        self, response: messages.HttpResponse
-    ) -> messages.HttpResponse:
-        dropped = (self._header_format.load_report,)
-        headers = [
-            (name, value)
-            for name, value in response.headers
-            if name not in messages.UNFORWARDED_HEADERS and name not in dropped
-        ]
-        return response._replace(headers=headers)
-
     def _failure_response(
         self, pending: pending_request.PendingRequest
     ) -> messages.HttpResponse:
         """Return the final response to a request without a successful attempt."""
         assert self._loop is not None
         if pending.last_error_response is not None:
-            return self._to_caller_response(pending.last_error_response)
+            return instance_responses.caller_response(
+                pending.last_error_response, self._header_format
+            )
         if pending.may_have_run:
             late = (
                 self._loop.time() >= pending.deadline_at - pending_request.MIN_ATTEMPT_S
--- a/src/wasabivalve/gateway/internal_http.py
+++ b/src/wasabivalve/gateway/internal_http.py
@@ -6,7 +6,7 @@
 
 from wasabivalve.desired_state import core as desired_state
 
-from . import caller_connection, messages, receiving
+from . import caller_connection, messages, receiving, response_order
 
 INTERNAL_BUFFER_BYTES = receiving.MIB
 """Bytes of requests of other VMs and of the platform that are held at once."""
@@ -20,6 +20,7 @@
     def __init__(self, handler: Handler) -> None:
         self.stopping = False
         self.buffers = receiving.ReceiveBuffers(INTERNAL_BUFFER_BYTES)
+        self.pipelining = response_order.Pipelining()
         self.handle = handler
 
     def limits(self) -> desired_state.CallerLimits:
--- a/src/wasabivalve/gateway/messages.py
+++ b/src/wasabivalve/gateway/messages.py
@@ -1,5 +1,6 @@
 """Define HTTP requests and responses, and the headers of a deployment."""
 
+import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -81,7 +82,8 @@
 class HttpRequest(NamedTuple):
     """Hold a complete request; ``received_at`` is in s of the event loop's clock.
 
-    ``caller`` is the address of the caller.
+    ``caller`` is the address of the caller. The request may be forwarded while
+    ``may_begin`` is set; None means always.
     """
 
     method: bytes
@@ -93,6 +95,7 @@
     keep_alive: bool
     received_at: float
     caller: str = ""
+    may_begin: asyncio.Event | None = None
 
     def fingerprint(self, caller: str = "") -> str:
         """Return a digest that stays the same when a caller sends a request anew.
--- a/src/wasabivalve/gateway/pending_request.py
+++ b/src/wasabivalve/gateway/pending_request.py
@@ -1,5 +1,6 @@
 """Hold the state of one request while the gateway forwards it."""
 
+import asyncio
 import functools
 from typing import NamedTuple
 
@@ -76,6 +77,25 @@
         """Return the fingerprint of the request, whoever sends it."""
         return self.request.fingerprint()
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether the response may begin."""
+        may_begin = self.request.may_begin
+        return may_begin is None or may_begin.is_set()
+
+    async def wait_for_room(self, deadline_at: float) -> bool:
+        """Wait until the response may begin; return whether it may by a deadline."""
+        may_begin = self.request.may_begin
+        if may_begin is None or may_begin.is_set():
+            return True
+        self.steps.append("no-room")
+        try:
+            async with asyncio.timeout_at(deadline_at):
+                await may_begin.wait()
+        except TimeoutError:
+            return False
+        return True
+
     @property
     def no_more_attempts(self) -> bool:
         """Return whether no further attempt may be made."""
--- a/src/wasabivalve/gateway/receiving.py
+++ b/src/wasabivalve/gateway/receiving.py
@@ -74,6 +74,16 @@
         held_bytes = self._bytes_by_incomplete.get(receiver, 0) + byte_count
         self._bytes_by_incomplete[receiver] = held_bytes
         self.total_bytes += byte_count
+        self._evict_incomplete()
+
+    def add_complete(self, receiver: Receiver, byte_count: int) -> None:
+        """Count a complete message; this may evict any incomplete one."""
+        held_bytes = self._bytes_by_complete.get(receiver, 0) + byte_count
+        self._bytes_by_complete[receiver] = held_bytes
+        self.total_bytes += byte_count
+        self._evict_incomplete()
+
+    def _evict_incomplete(self) -> None:
         while self.total_bytes > self.limit_bytes and self._bytes_by_incomplete:
             largest = max(
                 self._bytes_by_incomplete, key=self._bytes_by_incomplete.__getitem__
@@ -82,13 +92,17 @@
             largest.on_evicted()
             self.release_incomplete(largest)
 
-    def keep_complete(self, receiver: Receiver) -> None:
-        """Count a message as complete: it is in use and can't be given up."""
+    def keep_complete(self, receiver: Receiver) -> int:
+        """Count a message as complete: it is in use and can't be given up.
+
+        Return how many bytes it is counted with.
+        """
         held_bytes = self._bytes_by_incomplete.pop(receiver, 0)
         if held_bytes:
             self._bytes_by_complete[receiver] = (
                 self._bytes_by_complete.get(receiver, 0) + held_bytes
             )
+        return held_bytes
 
     def release_incomplete(self, receiver: Receiver) -> None:
         """Stop counting the incomplete message of a receiver."""
@@ -99,6 +113,12 @@
         self.release_incomplete(receiver)
         self.release_complete(receiver)
 
-    def release_complete(self, receiver: Receiver) -> None:
-        """Stop counting the complete messages of a receiver."""
-        self.total_bytes -= self._bytes_by_complete.pop(receiver, 0)
+    def release_complete(
+        self, receiver: Receiver, byte_count: int | None = None
+    ) -> None:
+        """Stop counting all complete messages of a receiver, or some of their bytes."""
+        held_bytes = self._bytes_by_complete.pop(receiver, 0)
+        released_bytes = held_bytes if byte_count is None else byte_count
+        self.total_bytes -= released_bytes
+        if held_bytes > released_bytes:
+            self._bytes_by_complete[receiver] = held_bytes - released_bytes
--- /dev/null
+++ b/src/wasabivalve/gateway/response_sender.py
@@ -0,0 +1,209 @@
+"""Have the requests of one connection handled and write the responses in order."""
+
+import asyncio
+from typing import Protocol
+
+from wasabivalve import events
+from wasabivalve.desired_state import core as desired_state
+
+from . import messages, receiving, response_order
+
+MEMORY_SHORT_SHARE = 0.5
+"""Use of the receive buffers above which only responses that need not wait begin."""
+
+HEADER_OVERHEAD_BYTES = 200
+"""Memory that a header takes in addition to its name and value."""
+
+
+class RequestHandler(Protocol):
+    """Handle requests of any connection."""
+
+    stopping: bool
+    buffers: receiving.ReceiveBuffers
+    pipelining: response_order.Pipelining
+
+    def limits(self) -> desired_state.CallerLimits:
+        """Return the limits that apply to callers."""
+
+    async def handle(self, request: messages.HttpRequest) -> messages.HttpResponse:
+        """Return the response to a request."""
+
+
+class RequestReader(receiving.Receiver, Protocol):
+    """Read the requests of a connection."""
+
+    def end_input(self) -> None:
+        """Read no further request."""
+
+    def pause_reading(self) -> None:
+        """Stop reading until it is resumed."""
+
+    def resume_reading(self) -> None:
+        """Read again if reading was paused."""
+
+    def on_all_answered(self, announced_idle_s: float | None) -> None:
+        """Record that no request is left, and the idle time that was announced."""
+
+    def finish(self) -> None:
+        """Close the connection after what was written."""
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+
+
+def _memory_bytes(response: messages.HttpResponse) -> int:
+    """Return about how much memory a response takes."""
+    header_bytes = sum(
+        len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        for name, value in response.headers
+    )
+    return len(response.body) + header_bytes
+
+
+class ResponseSender:
+    """Run the requests of a connection concurrently and answer them in order."""
+
+    def __init__(self, server: RequestHandler, reader: RequestReader) -> None:
+        self._server = server
+        self._reader = reader
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._order = response_order.ResponseOrder(server.pipelining.may_run_twice)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writable = True
+        self._closed = False
+        self._announced_idle_s: float | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is not answered yet."""
+        return len(self._order) > 0
+
+    def start(self, transport: asyncio.Transport) -> None:
+        """Write responses to a connection."""
+        self._transport = transport
+
+    def serve(self, request: messages.HttpRequest, held_bytes: int) -> None:
+        """Answer a request; the memory account counts it with ``held_bytes``."""
+        if self._closed:
+            return
+        if self.busy:
+            self._server.pipelining.count_event("request.pipelined")
+        self._order.add(request, held_bytes)
+        self._advance()
+
+    def refuse(self, response: messages.HttpResponse) -> None:
+        """Send a last response after those to the requests in progress."""
+        if self._closed:
+            return
+        self._order.add_refusal(response)
+        self._advance()
+
+    def on_unwritable(self) -> None:
+        """Write and start nothing until the caller has read."""
+        self._writable = False
+        self._update_room()
+
+    def on_writable(self) -> None:
+        """Write and start what has waited."""
+        self._writable = True
+        self._advance()
+
+    def cancel(self) -> None:
+        """End the work on all requests, as nobody can get their responses."""
+        self._closed = True
+        self._order.drop_all()
+        for task in self._tasks:
+            task.cancel()
+
+    def _advance(self) -> None:
+        """Write the responses whose turn it is and start the requests that may run."""
+        while self._writable and not self._closed:
+            turn = self._order.take_ready()
+            if turn is None:
+                break
+            self._write(turn)
+        if self._closed:
+            return
+        self._update_room()
+        if self._writable:
+            self._start_requests()
+        if self._order.is_full:
+            self._reader.pause_reading()
+        else:
+            self._reader.resume_reading()
+        if self._writable and not self.busy:
+            self._reader.on_all_answered(self._announced_idle_s)
+
+    def _update_room(self) -> None:
+        buffers = self._server.buffers
+        memory_short = buffers.total_bytes > MEMORY_SHORT_SHARE * buffers.limit_bytes
+        self._order.update_room(self._writable, memory_short)
+
+    def _start_requests(self) -> None:
+        for turn in self._order.start_next():
+            task = self._loop.create_task(self._serve(turn))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, turn: response_order.Turn) -> None:
+        assert turn.request is not None
+        if not self._order.confirm_start(turn):
+            return
+        try:
+            response = await self._server.handle(turn.request)
+        except Exception:
+            # Without a response, those to later requests would be taken for it.
+            self._reader.abort()
+            raise
+        if self._closed:
+            return
+        if not self._writable or not self._order.is_first(turn):
+            byte_count = _memory_bytes(response)
+            turn.held_bytes += byte_count
+            self._server.buffers.add_complete(self._reader, byte_count)
+            self._server.pipelining.count_event("request.response_waited")
+        self._order.on_response(turn, response)
+        self._advance()
+
+    def _write(self, turn: response_order.Turn) -> None:
+        response = turn.response
+        assert response is not None
+        request = turn.request
+        keep_open = (
+            request is not None and request.keep_alive and not response.close_delimited
+        )
+        if keep_open and self._server.stopping:
+            # The requests that were read are answered, and no further one is read.
+            self._reader.end_input()
+            keep_open = self.busy
+        connection_headers: messages.Headers = []
+        if keep_open:
+            self._announced_idle_s = self._server.limits().idle_timeout_ms / 1000.0
+            if self._announced_idle_s >= 1.0:
+                value = b"timeout=%d" % int(self._announced_idle_s)
+                connection_headers.append((b"keep-alive", value))
+        else:
+            connection_headers.append((b"connection", b"close"))
+        for_head_request = request is not None and request.method == b"HEAD"
+        self._server.buffers.release_complete(self._reader, turn.held_bytes)
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(
+                messages.encode_response(response, connection_headers, for_head_request)
+            )
+        if not keep_open:
+            self._finish()
+
+    def _finish(self) -> None:
+        """Close after the last response; what follows it counts as not read."""
+        dropped = self._order.drop_all()
+        self._closed = True
+        for task in self._tasks:
+            if task is not asyncio.current_task():
+                task.cancel()
+        released_bytes = sum(turn.held_bytes for turn in dropped)
+        self._server.buffers.release_complete(self._reader, released_bytes)
+        if dropped:
+            events.emit(414, requests=len(dropped))
+            self._server.pipelining.count_event("request.behind_close")
+        self._reader.finish()
--- a/src/wasabivalve/gateway/sending.py
+++ b/src/wasabivalve/gateway/sending.py
@@ -47,15 +47,18 @@
         self,
         pending: pending_request.PendingRequest,
         load: placement.InstanceLoad,
+        requests_at_start: float,
         live_vm_count: int,
     ) -> SendResult:
-        """Send a request; cancellation resets the connection to end the work on it."""
+        """Send a request; cancellation resets the connection to end the work on it.
+
+        The caller has counted it in ``load.in_flight``, where its end is counted here;
+        ``requests_at_start`` is how many requests the instance had before it.
+        """
         loop = asyncio.get_running_loop()
         instance = load.instance
         started_at = loop.time()
         pending.steps.append(instance.id)
-        requests_at_start = load.estimated_requests(1000.0 * started_at)
-        load.in_flight += 1
         connection: (
             upstream_connection.UpstreamConnection | upstream_connection.NotSent | None
         ) = None
--- a/src/wasabivalve/platform/tests/instance_stand_in.py
+++ b/src/wasabivalve/platform/tests/instance_stand_in.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from wasabivalve.gateway import caller_connection, messages, receiving
+from wasabivalve.gateway import (
+    caller_connection,
+    messages,
+    receiving,
+    response_order,
+)
 from wasabivalve.placement import core as placement
 
 
@@ -17,6 +22,7 @@
 
     def __init__(self, name, service="desk"):
         self.stopping = False
+        self.pipelining = response_order.Pipelining()
         self.buffers = receiving.ReceiveBuffers(32 * receiving.MIB)
         self.name = name
         self.service = service
--- a/src/wasabivalve/platform/tests/store_stand_in.py
+++ b/src/wasabivalve/platform/tests/store_stand_in.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from wasabivalve.gateway import caller_connection, messages, receiving
+from wasabivalve.gateway import (
+    caller_connection,
+    messages,
+    receiving,
+    response_order,
+)
 
 RECORD_LENGTH = struct.Struct(">I")
 BATCH_OFFSETS = struct.Struct(">QQ")
@@ -30,6 +35,7 @@
 
     def __init__(self):
         self.stopping = False
+        self.pipelining = response_order.Pipelining()
         self.buffers = receiving.ReceiveBuffers(32 * receiving.MIB)
         self.refuses_calls = False
         self.responses_to_drop = 0
