Hold all VMs to the bound of a cold instance

Cause: a cold instance ends well above warmup_per_s requests per second, and each VM that keeps to that alone exceeds it together with the others.

Change: a rise of warmup_left_s in a registry entry is relayed as a change; Warmup-Ms is read from answers, and from one probe of health_path after an instance answers again. Settings have the optional bounds warmup_overshoot and warmup_slack.

--- a/src/wasabivalve/placement/tests/test_directory.py
+++ b/src/wasabivalve/placement/tests/test_directory.py
@@ -54,6 +54,15 @@
     assert len(changes) == 1
 
 
+def test_instance_that_became_cold_again_is_a_change():
+    """VMs that follow relays get only the entries that change anything."""
+    instances, changes = build()
+    instances.on_entry(entry())
+    instances.on_entry(entry(sequence=2, warmup_left_ms=3_000.0))
+    instances.on_entry(entry(sequence=3, warmup_left_ms=2_000.0))
+    assert len(changes) == 2
+
+
 def test_entries_that_expired_in_an_outage_have_a_grace_period():
     """Running instances that could not write must not lose their keys at once."""
     instances, _ = build()
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -4,12 +4,11 @@
 import contextlib
 import pathlib
 import random
-import time
 from collections.abc import Callable, Sequence
 
 import msgspec
 
-from wasabivalve import events, ramp_up, shared_facts
+from wasabivalve import events, shared_facts
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.gateway import core as gateway
 from wasabivalve.gateway import instance_selection, internal_http, messages
@@ -22,8 +21,8 @@
 from wasabivalve.slot_dispatch import node as dispatch_node
 from wasabivalve.vm_link import copies, exchange, vm_directory
 
-from . import desired_state as desired_state_decoder
 from . import (
+    clocks,
     facts,
     grants,
     headers,
@@ -33,7 +32,9 @@
     metrics_page,
     settings,
     store,
+    warmup_probes,
 )
+from . import desired_state as desired_state_decoder
 
 DESIRED_STATE_TOPIC = "keyed.op"
 DESIRED_STATE_KEY = "config"
@@ -121,11 +122,6 @@
 """
 
 
-def _boottime_ms() -> float:
-    """Return the time since boot in ms, including time in suspend."""
-    return SECOND_MS * time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class EntryVM:
     """Serve the callers of one VM and assign keys while it is the controller."""
 
@@ -209,8 +205,11 @@
             vm_settings.region_by_data_centre,
             self._now_ms,
         )
-        self._paced_limits = ramp_up.PacedLimits(
-            self._fact_sharing.board, self._find_service, vm_settings.warmup_bounds
+        self._paced_limits = warmup_probes.create_limits(
+            self._fact_sharing.board,
+            self._find_service,
+            vm_settings.warmup_bounds,
+            self._grant_client,
         )
         self._dispatch_node = dispatch_node.DispatchNode(
             vm_settings.vm,
@@ -269,7 +268,7 @@
             vm_settings.vm,
             vm_settings.max_lease_ms,
             leases.RemoteCalls(
-                _boottime_ms,
+                clocks.boottime_ms,
                 self._read_log_tail,
                 self._append_assignment_map,
                 self._grant_client.grant,
@@ -295,7 +294,7 @@
             self.is_ready,
             self._exchange,
             self._vms_listed,
-            _boottime_ms,
+            clocks.boottime_ms,
             self._store_outage,
         )
         self._internal_servers: list[asyncio.Server] = []
--- a/src/wasabivalve/platform/grants.py
+++ b/src/wasabivalve/platform/grants.py
@@ -103,6 +103,23 @@
         )
         return another_responded or response.status == MISDIRECTED_STATUS
 
+    async def warmup_left_ms(
+        self, instance: placement.RegisteredInstance, timeout_ms: float
+    ) -> float:
+        """Ask an instance how long it stays cold; 0 if it does not say."""
+        path = self._health_path(instance.service)
+        if not path:
+            return 0.0
+        response = await self._call(instance, path.encode(), None, timeout_ms)
+        if not isinstance(response, messages.HttpResponse):
+            return 0.0
+        header_format = headers.HEADER_FORMAT
+        responding_id = response.header(header_format.responding_instance)
+        if responding_id not in (None, instance.id.encode()):
+            return 0.0
+        encoded_left = response.header(header_format.warmup_left) or b""
+        return 1000.0 * (header_format.decode_warmup_left(encoded_left) or 0.0)
+
     async def release(
         self,
         instance: placement.RegisteredInstance,
--- a/src/wasabivalve/platform/tests/test_decoding.py
+++ b/src/wasabivalve/platform/tests/test_decoding.py
@@ -28,6 +28,8 @@
     "max_attempts": 2,
 }
 
+SERVICE = {"max_connections": 110, "sharded": True}
+
 LIMITS = {
     "max_header_bytes": 16_384,
     "max_body_bytes": 1_000,
@@ -58,13 +60,13 @@
 """
 
 
-def encode(version=7, route=ROUTE, limits=LIMITS):
+def encode(version=7, route=ROUTE, limits=LIMITS, service=SERVICE):
     resources = [
         {"resource_kind": "routes", "metadata": {"name": "r"}, "spec": route},
         {
             "resource_kind": "services",
             "metadata": {"name": "desk"},
-            "spec": {"max_connections": 110, "sharded": True},
+            "spec": service,
         },
         {"resource_kind": "limits", "metadata": {}, "spec": limits},
         {"resource_kind": "later", "metadata": {}, "spec": {}},
@@ -169,6 +171,42 @@
     assert headers.HEADER_FORMAT.decode_time_left(value) == seconds
 
 
+@pytest.mark.parametrize(
+    ("value", "report"),
+    [
+        (b"1,0,4", (1, 0, 4, None)),
+        (b"3, 2, 4, 250", (3, 2, 4, 2.5)),
+        (b"3,2,4,12.5", (3, 2, 4, 0.125)),
+        (b"3,2,4,x", (3, 2, 4, None)),
+        (b"3,2,4,0", (3, 2, 4, None)),
+        (b"3,2,4,inf", (3, 2, 4, None)),
+        (b"3,2", None),
+        (b"3,2,-4,100", None),
+        (b"3,2,4,100,5", None),
+    ],
+)
+def test_load_report_counts_without_a_valid_fourth_figure(value, report):
+    """A report with four figures was discarded, and the load with it."""
+    assert headers.HEADER_FORMAT.decode_load_report(value) == report
+
+
+def test_warm_up_of_services_and_its_bounds_are_optional(tmp_path):
+    """Deployments without them must stay as they are."""
+    spec = {"max_connections": 110, "warmup_s": 3, "warmup_per_s": 4.2}
+    config = desired_state.decode(encode(service=spec)).service_by_name["desk"]
+    assert (config.warmup_ms, config.warmup_per_s) == (3_000.0, 4.2)
+    config = desired_state.decode(encode()).service_by_name["desk"]
+    assert (config.warmup_ms, config.warmup_per_s) == (0.0, 0.0)
+    with pytest.raises(desired_state.MalformedDesiredState, match="warmup_per_s"):
+        desired_state.decode(encode(service={**spec, "warmup_per_s": -1}))
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    assert settings.load(path).warmup_bounds is None
+    bounds = '"warmup_overshoot=1.5", "warmup_slack=8", "flag=true"'
+    path.write_text(SETTINGS.replace('"flag=true"', bounds))
+    assert settings.load(path).warmup_bounds == (1.5, 8.0)
+
+
 def test_key_outside_of_the_key_space_is_none():
     """A request for a key beyond the last range would wait for a holder in vain."""
     assert headers.HEADER_FORMAT.decode_key(b"65535") == 65_535
--- a/src/wasabivalve/ramp_up/limits.py
+++ b/src/wasabivalve/ramp_up/limits.py
@@ -46,7 +46,8 @@
     """Hold the limits of instances on one VM; times are in ms of the board's clock.
 
     ``find_service`` returns the configuration of a service. Instances are paced only
-    where it has a ``warmup_ms``.
+    where it has a ``warmup_ms``. ``on_recovered`` is called when an instance answers
+    again after failures and may have become cold.
     """
 
     def __init__(
@@ -57,12 +58,16 @@
         ] = lambda service: None,
         bounds: core.WarmupBounds | None = None,
         named: shared_facts.InstanceLimits | None = None,
+        on_recovered: Callable[
+            [placement.RegisteredInstance], None
+        ] = lambda instance: None,
     ) -> None:
         self.board = board
         self._named = named or shared_facts.InstanceLimits(board)
         self._paces = shared_facts.InstancePaces(board)
         self._find_service = find_service
         self._bounds = bounds
+        self._on_recovered = on_recovered
         self._watch_by_id: dict[str, _Watch] = {}
         self._cold_until_by_id: dict[str, float] = {}
         self._typical_ms_by_service: dict[str, float] = {}
@@ -141,7 +146,13 @@
         config = self._find_config(instance.service)
         if config is None:
             return
+        is_answer = ejected_until <= now
+        if is_answer:
+            self._on_recovered(instance)
         watch = self._watch(instance, config, now)
+        if is_answer and self._pace_per_s(instance, config, now) is not None:
+            # It is paced since its ejection, or since another VM had an answer.
+            return
         finder = self._finder(watch, instance, config)
         finder.on_recovery(now)
         watch.active_at = max(now, ejected_until)
