Leave the keys of a holder that warms up where they are

Cause: plans count the pace of a cold instance as its capacity, so that a data centre that becomes cold for 3 s would shed its keys each 0.6 s and get them back afterwards.

Change: holders that warm up are left out of balancing; a new instance gets its first keys by the pace that it sustains.

--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -448,6 +448,7 @@
                 instance.id,
                 instance.born,
                 self._dependencies.capacity_per_s(instance),
+                self._dependencies.is_warming(instance),
             )
             for instance in usable_instances
         ]
--- a/src/wasabivalve/key_leases/leases.py
+++ b/src/wasabivalve/key_leases/leases.py
@@ -105,6 +105,7 @@
     on_ranges_confirmed: Callable[[int, int, str, list[core.RangeAssignment]], None]
     on_admission_shares: Callable[[dict[str, float], dict[str, dict[int, float]]], None]
     request_yield: Callable[[str, int], None]
+    is_warming: Callable[[placement.RegisteredInstance], bool] = lambda instance: False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/wasabivalve/key_leases/moves.py
+++ b/src/wasabivalve/key_leases/moves.py
@@ -207,10 +207,12 @@
         unmovable_ids = {
             lease.range.instance for lease in service_leases if lease not in movable
         }
+        listed = self._actions.list_candidates(service)
+        unmovable_ids |= planning.find_warming_holders(
+            listed, {lease.range.instance for lease in movable}
+        )
         candidates = [
-            candidate
-            for candidate in self._actions.list_candidates(service)
-            if candidate.id not in unmovable_ids
+            candidate for candidate in listed if candidate.id not in unmovable_ids
         ]
         loads = self._dependencies.service_loads(service).smooth
         ranges = [
--- a/src/wasabivalve/key_leases/planning.py
+++ b/src/wasabivalve/key_leases/planning.py
@@ -4,7 +4,7 @@
 and change within seconds. Every move pauses the requests for its keys.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from . import core, key_loads
@@ -81,11 +81,15 @@
 
 
 class CandidateInstance(NamedTuple):
-    """Describe an instance that may hold keys; ``capacity`` in requests per second."""
+    """Describe an instance that may hold keys; ``capacity`` in requests per second.
+
+    The capacity of one ``is_warming`` is that of its warm-up.
+    """
 
     id: str
     born: int
     capacity: float
+    is_warming: bool = False
 
 
 class LeaseMove(NamedTuple):
@@ -201,6 +205,21 @@
     return parts
 
 
+def find_warming_holders(
+    candidates: Iterable[CandidateInstance], holders: Collection[str]
+) -> set[str]:
+    """Return the instances that keep their keys, and get no others, while they warm up.
+
+    A warm-up takes seconds, for which most requests can wait. Moving keys away and back
+    costs more than that.
+    """
+    return {
+        candidate.id
+        for candidate in candidates
+        if candidate.is_warming and candidate.id in holders
+    }
+
+
 def plan_balancing_moves(
     service: str,
     ranges: Sequence[core.RangeAssignment],
--- a/src/wasabivalve/key_leases/tests/test_planning.py
+++ b/src/wasabivalve/key_leases/tests/test_planning.py
@@ -223,3 +223,17 @@
     delays_ms = [planning.first_plan_delay_ms(count) for count in (3, 12, 103, 900)]
     assert delays_ms[0] == delays_ms[1] == planning.MIN_PLAN_DELAY_MS
     assert delays_ms[1] < delays_ms[2] <= delays_ms[3] == planning.MAX_PLAN_DELAY_MS
+
+
+def test_holder_that_becomes_cold_keeps_its_keys_and_a_new_one_gets_few():
+    """Keys moved for a warm-up of seconds would move back after it."""
+    cold = planning.CandidateInstance("i-1", 1, 4.0, True)
+    new = planning.CandidateInstance("i-2", 1, 4.0, True)
+    warm = planning.CandidateInstance("i-3", 1, 14.0)
+    assert planning.find_warming_holders([cold, new, warm], {"i-1", "i-3"}) == {"i-1"}
+    loads = key_loads.LoadProfile({key: 0.1 for key in range(100)})
+    ranges = [core.RangeAssignment(0, core.KEY_COUNT - 1, "i-3", 1)]
+    moves = planning.plan_balancing_moves("desk", ranges, [new, warm], loads, 1)
+    (moved,) = moves
+    assert moved.to_instance == "i-2"
+    assert 0.0 < loads.range_rate(moved.first, moved.last) <= 4.0
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -285,6 +285,7 @@
                 self._exchange.broadcast_confirmed_ranges,
                 self._exchange.broadcast_admission_shares,
                 self._exchange.send_yield_request,
+                self._dispatch_node.is_warming,
             ),
         )
         self._group_member = membership.ControllerGroupMember(
--- a/src/wasabivalve/ramp_up/limits.py
+++ b/src/wasabivalve/ramp_up/limits.py
@@ -23,6 +23,12 @@
 After it, another VM may have become the dispatcher, whose pace is a fact.
 """
 
+RISE_MS = 2_000.0
+"""Time after a warm-up in which the pace reaches that of a warm instance.
+
+It grows by e in a second, and a cold instance has about a quarter of it.
+"""
+
 TYPICAL_WEIGHT = 0.05
 
 MAX_WARMUP_MS = 60_000.0
@@ -121,6 +127,13 @@
         watch = self._watch(instance, config, now)
         return watch.cold_since if now < watch.cold_until else None
 
+    def is_warming(self, instance: placement.RegisteredInstance, now: float) -> bool:
+        """Return whether an instance is cold, or was until a moment ago."""
+        config = self._find_config(instance.service)
+        if config is None:
+            return False
+        return now < self._watch(instance, config, now).cold_until + RISE_MS
+
     def on_warmup_report(
         self, instance: placement.RegisteredInstance, left_ms: float, now: float
     ) -> None:
--- a/src/wasabivalve/slot_dispatch/node.py
+++ b/src/wasabivalve/slot_dispatch/node.py
@@ -38,6 +38,7 @@
         region_by_data_centre = topology.region_by_data_centre
         region = placement.region_of(topology.data_centre, region_by_data_centre)
         self._vm = vm
+        self._limits = limits
         self._region = region
         self._other_regions = sorted(set(region_by_data_centre.values()) - {region})
         self._rank_dispatchers = rank_dispatchers
@@ -89,6 +90,12 @@
         """Discard what was observed of an ended incarnation."""
         self._dispatcher.remove_instance(instance)
 
+    def is_warming(self, instance: placement.RegisteredInstance) -> bool:
+        """Return whether an instance is cold, or was a moment ago."""
+        return self._limits is not None and self._limits.is_warming(
+            instance, self._now_ms()
+        )
+
     def _reply(self, replies: Iterable[core.AddressedReply]) -> None:
         for addressed in replies:
             self._send(addressed.vm, addressed.reply)
