Keep requests out of evacuated data centres

Cause: evacuate/DATA_CENTRE records of keyed.op were ignored, and copies of that topic held its newest record only, so that such a record would have hidden the configuration from starting VMs.

Change: placement.evacuation holds the evacuated data centres, platform.operator_records decodes the records. Their instances count as leaving while the record is there, so that holders give up their keys. A request that no other instance may serve is refused at once, and an instance is checked again when its connection is open. Copies of documents hold the newest record of each key and name removed ones.

--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -75,4 +75,6 @@
     (501, "WARNING", "no verified configuration is available; requests are refused"),
     (502, "INFO", "drain is complete"),
     (503, "ERROR", "desired state is malformed and was ignored"),
+    (504, "WARNING", "data centre is evacuated; its instances get no requests"),
+    (505, "INFO", "evacuation of a data centre has ended"),
 )
--- a/src/wasabivalve/gateway/eligible_instances.py
+++ b/src/wasabivalve/gateway/eligible_instances.py
@@ -31,11 +31,13 @@
         topology: placement.Topology,
         list_instances: Callable[[str], list[placement.RegisteredInstance]],
         find_holder: Callable[[str, int], key_view.KeyHolder],
+        is_evacuated: Callable[[str], bool],
         metrics: metrics_registry.MetricsRegistry,
     ) -> None:
         self._region_by_data_centre = topology.region_by_data_centre
         self._list_instances = list_instances
         self._find_holder = find_holder
+        self._is_evacuated = is_evacuated
         self._metrics = metrics
         self._regions_by_route: dict[str, frozenset[str]] = {}
 
@@ -62,6 +64,19 @@
             instance, self.allowed_regions(pending), self._region_by_data_centre
         )
 
+    def may_still_serve(
+        self,
+        pending: pending_request.PendingRequest,
+        instance: placement.RegisteredInstance,
+    ) -> bool:
+        """Return whether an instance chosen before may get a request now.
+
+        A connection takes time, in which the operator may exclude the instance.
+        """
+        return self.may_serve(pending, instance) and not self._is_evacuated(
+            instance.data_centre
+        )
+
     def candidates(
         self, pending: pending_request.PendingRequest
     ) -> list[placement.RegisteredInstance]:
@@ -75,11 +90,16 @@
         return [instance for instance in instances if self.may_serve(pending, instance)]
 
     def refuses(self, pending: pending_request.PendingRequest) -> bool:
-        """Return whether the regions of a route leave no instance for a request."""
+        """Return whether regions or evacuations leave no instance for a request.
+
+        Other reasons, such as instances that restart, pass while a request waits.
+        """
         regions = self.allowed_regions(pending)
-        if not regions:
-            return False
         instances = self._list_instances(pending.service.name)
+        if not regions and not any(
+            self._is_evacuated(instance.data_centre) for instance in instances
+        ):
+            return False
         reason = ""
         if not any(self.may_serve(pending, instance) for instance in instances):
             reason = "no-eligible-instance"
--- a/src/wasabivalve/gateway/instance_selection.py
+++ b/src/wasabivalve/gateway/instance_selection.py
@@ -56,7 +56,8 @@
     share that an overloaded holder can serve, and returns whether one was left;
     ``try_admit_key`` does so for a hot key, and returns None for other keys;
     ``count_live_vms`` returns the number of entry VMs, 0 if it is not known yet;
-    ``record_key_request`` counts requests by key.
+    ``record_key_request`` counts requests by key; ``is_evacuated`` returns whether a
+    data centre is evacuated, so that its instances count as draining.
     """
 
     list_instances: Callable[[str], list[placement.RegisteredInstance]]
@@ -65,6 +66,7 @@
     try_admit_key: Callable[[str, int], bool | None]
     count_live_vms: Callable[[], int]
     record_key_request: Callable[[str, int], None]
+    is_evacuated: Callable[[str], bool] = lambda data_centre: False
 
 
 MAX_UNUSABLE_SLOTS = 3
@@ -114,7 +116,11 @@
         self._header_format = header_format
         self._topology = topology
         self.eligible = eligible_instances.EligibleInstances(
-            topology, callbacks.list_instances, callbacks.find_holder, metrics
+            topology,
+            callbacks.list_instances,
+            callbacks.find_holder,
+            callbacks.is_evacuated,
+            metrics,
         )
         self._slots = slots
         self._callbacks = callbacks
--- a/src/wasabivalve/gateway/sending.py
+++ b/src/wasabivalve/gateway/sending.py
@@ -92,6 +92,10 @@
                 released = True
                 self._pool.release(instance, connection)
                 return SendResult(upstream_connection.NotSent("no time left"))
+            if not self._selector.eligible.may_still_serve(pending, instance):
+                released = True
+                self._pool.release(instance, connection)
+                return SendResult(upstream_connection.NotSent("not eligible any more"))
             pending.attempts += 1
             encoded_request_id = pending.request.header(self._header_format.request_id)
             exchange = connection.exchange(
--- a/src/wasabivalve/gateway/tests/test_allowed_regions.py
+++ b/src/wasabivalve/gateway/tests/test_allowed_regions.py
@@ -118,3 +118,22 @@
         assert (await waiting)[0] == 503 and not far.requests
 
     run_scenario(scenario, [], [], partitioned=True, timeout_ms=60_000.0)
+
+
+def test_instance_that_is_excluded_while_a_connection_opens_gets_nothing():
+    """A connection may take longer than an evacuation may take to be in force."""
+
+    async def scenario(harness, near, far):
+        allow(harness, EAST)
+        acquire = harness.gateway.pool.acquire
+
+        async def acquire_slowly(*arguments):
+            connection = await acquire(*arguments)
+            allow(harness, WEST)
+            return connection
+
+        harness.gateway.pool.acquire = acquire_slowly
+        status, _, _ = await harness.send_request("/unsafe/x", "POST", b"b")
+        assert status == 200 and not near.requests
+
+    run_scenario(scenario, [], [gateway_harness.OK], timeout_ms=4_000.0)
--- a/src/wasabivalve/metrics/core.py
+++ b/src/wasabivalve/metrics/core.py
@@ -29,6 +29,7 @@
         "gauge",
         "instances whose pace this VM looks for as dispatcher",
     ),
+    ("instance.evacuated_data_centres", "gauge", "evacuated data centres"),
     ("permit.wait", "timing", "time that a request waited for a slot, ms"),
     ("permit.refused", "counter", "requests that got no slot"),
     ("peer.message_dropped", "counter", "dropped messages: invalid, or unknown peer"),
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -30,14 +30,13 @@
     instances,
     membership,
     metrics_page,
+    operator_records,
     settings,
     store,
     warmup_probes,
 )
-from . import desired_state as desired_state_decoder
 
-DESIRED_STATE_TOPIC = "keyed.op"
-DESIRED_STATE_KEY = "config"
+DESIRED_STATE_TOPIC = operator_records.TOPIC
 INSTANCES_TOPIC = "keyed.servers"
 ASSIGNMENT_LOG_TOPIC = "keyed.wasabivalve.keys"
 ASSIGNMENT_MAP_KEY = "map"
@@ -134,7 +133,6 @@
         self._relay_validity_s = keyed_log.relay_validity_s(
             vm_settings.max_staleness_ms / SECOND_MS
         )
-        self._desired_state: desired_state.DesiredState | None = None
         self._key_view = view.KeyView()
         # Offsets of the records that changed the instance directory since the last
         # relay.
@@ -199,9 +197,15 @@
             lambda news: self._gateway.on_shared_facts(news),
             lambda: self._exchange.follower_by_topic[facts.FACTS_TOPIC].next_offset,
         )
+        self._operator_records = operator_records.OperatorRecords(
+            self._copies.put,
+            self._on_desired_state,
+            lambda: self._gateway.on_holders_changed(),
+        )
         self._instance_views = instance_views.InstanceViews(
             lambda: self._instance_directory.instance_by_id,
             shared_facts.LeavingInstances(self._fact_sharing.board),
+            self._operator_records.evacuated.is_evacuated,
             vm_settings.region_by_data_centre,
             self._now_ms,
         )
@@ -256,6 +260,7 @@
                 lambda service, key: self._key_loads.count_request(
                     service, key, self._now_ms()
                 ),
+                self._operator_records.evacuated.is_evacuated,
             ),
             self._shared_service_times,
             vm_settings.message_limits,
@@ -339,8 +344,8 @@
         followers = (
             self._create_follower(
                 DESIRED_STATE_TOPIC,
-                self._on_desired_state_listing,
-                self._on_desired_state_record,
+                self._operator_records.on_listing,
+                self._operator_records.on_record,
                 keyed_log.FollowTimes(0.0, DESIRED_STATE_LONG_POLL_S),
             ),
             self._create_follower(
@@ -387,6 +392,8 @@
         return messages.local_response(503, "not ready")
 
     def _metrics_response(self) -> messages.HttpResponse:
+        evacuated = self._operator_records.evacuated.data_centres
+        self._gateway.metrics.gauge("instance.evacuated_data_centres", len(evacuated))
         return metrics_page.render(
             self._gateway,
             self._store_client.call_count,
@@ -465,6 +472,7 @@
                     topic, known_end_offset
                 )
                 if copied_listing is not None:
+                    self._copies.put_listing(topic, copied_listing)
                     return copied_listing
             listing = await self._store_client.list_newest(topic)
             if is_copied and isinstance(listing, keyed_log.Listing):
@@ -477,7 +485,12 @@
             # The follower reads without a wait when a relay has reported new records,
             # so another VM has read them already.
             if is_copied and wait_s == 0.0:
-                batch = await self._copies.fetch_batch(topic, offset)
+                is_operators = topic == DESIRED_STATE_TOPIC
+                batch = await self._copies.fetch_batch(
+                    topic,
+                    offset,
+                    self._operator_records.removable_keys() if is_operators else (),
+                )
                 if batch is not None:
                     return batch
             return await self._store_client.read(topic, offset, wait_s)
@@ -535,30 +548,13 @@
 
     # Desired state.
 
-    def _on_desired_state_listing(self, records: Sequence[keyed_log.Record]) -> None:
-        for record in records:
-            self._on_desired_state_record(record)
+    @property
+    def _desired_state(self) -> desired_state.DesiredState | None:
+        return self._operator_records.desired_state
 
-    def _on_desired_state_record(self, record: keyed_log.Record) -> None:
-        if record.key != DESIRED_STATE_KEY or record.value is None:
-            return
-        try:
-            state = desired_state_decoder.decode(record.value)
-        except desired_state_decoder.MalformedDesiredState as error:
-            events.emit(503, offset=record.offset, problem=str(error))
-            return
-        if (
-            self._desired_state is not None
-            and state.version <= self._desired_state.version
-        ):
-            return
-        self._desired_state = state
-        self._copies.put(DESIRED_STATE_TOPIC, record)
+    def _on_desired_state(self, state: desired_state.DesiredState) -> None:
         self._instance_views.set_desired_state(state)
         self._gateway.set_desired_state(state)
-        events.emit(
-            500, version=state.version, offset=record.offset, routes=len(state.routes)
-        )
 
     # Instances.
 
--- a/src/wasabivalve/platform/instance_views.py
+++ b/src/wasabivalve/platform/instance_views.py
@@ -23,18 +23,21 @@
 class InstanceViews:
     """Return instances as registered, or as draining if they must get nothing more.
 
-    ``registered`` returns the registered instances by id, ``now_ms`` a steady clock.
+    ``registered`` returns the registered instances by id, ``is_evacuated`` whether a
+    data centre is, ``now_ms`` the time of a steady clock.
     """
 
     def __init__(
         self,
         registered: Callable[[], Mapping[str, placement.RegisteredInstance]],
         leaving_instances: shared_facts.LeavingInstances,
+        is_evacuated: Callable[[str], bool],
         region_by_data_centre: Mapping[str, str],
         now_ms: Callable[[], float],
     ) -> None:
         self._registered = registered
         self._leaving_instances = leaving_instances
+        self._is_evacuated = is_evacuated
         self._region_by_data_centre = region_by_data_centre
         self._now_ms = now_ms
         self._route_regions_by_service: dict[str, list[frozenset[str]]] = {}
@@ -97,8 +100,13 @@
     def _with_notices(
         self, instance: placement.RegisteredInstance
     ) -> placement.RegisteredInstance:
-        """Return an instance as it is registered, or as leaving if it says so."""
-        if self._leaving_instances.is_leaving(
+        """Return an instance as it is registered, or as leaving.
+
+        It leaves if it says so, or for the time of an evacuation of its data centre.
+        """
+        if self._is_evacuated(
+            instance.data_centre
+        ) or self._leaving_instances.is_leaving(
             instance.id, instance.born, self._now_ms()
         ):
             return instance._replace(draining=True)
--- a/src/wasabivalve/vm_link/copies.py
+++ b/src/wasabivalve/vm_link/copies.py
@@ -1,6 +1,7 @@
 """Distribute copies of documents between the VMs of a region.
 
-A document is the only record of a topic. A desired state of several hundred KB must
+A document is what a topic holds: the newest record of each of its few keys. A desired
+state of several hundred KB must
 reach every VM of a region although the link to the store is slow, and each call to the
 store is billed. A few VMs of the region read it from the store, and the others fetch a
 compressed copy from them.
@@ -53,9 +54,9 @@
 
 
 class DocumentCopy(NamedTuple):
-    """Hold the newest record of a topic that ends at an offset, None without one."""
+    """Hold the newest record of each key of a topic that ends at an offset."""
 
-    record: keyed_log.Record | None
+    records: list[keyed_log.Record]
     end_offset: int
 
 
@@ -105,13 +106,23 @@
             self._server.close()
 
     def put(self, topic: str, record: keyed_log.Record) -> None:
-        """Store the newest record of a topic and wake the requests that wait for it."""
-        self._document_by_topic[topic].put(DocumentCopy(record, record.offset + 1))
+        """Store the newest record of a key and wake the requests that wait for it.
+
+        A record without a value removes its key.
+        """
+        document = self._document_by_topic[topic]
+        known = document.copy or DocumentCopy([], 0)
+        if record.offset < known.end_offset:
+            return
+        records = [other for other in known.records if other.key != record.key]
+        if record.value:
+            records.append(record)
+        document.put(DocumentCopy(records, record.offset + 1))
 
     def put_listing(self, topic: str, listing: keyed_log.Listing) -> None:
         """Store what a topic holds, which may be nothing yet."""
-        newest = max(listing.records, key=lambda record: record.offset, default=None)
-        self._document_by_topic[topic].put(DocumentCopy(newest, listing.end_offset))
+        copy = DocumentCopy(list(listing.records), listing.end_offset)
+        self._document_by_topic[topic].put(copy)
 
     async def fetch_listing(self, topic: str, offset: int) -> keyed_log.Listing | None:
         """Return another VM's copy as a listing, or None.
@@ -125,18 +136,29 @@
         copy = await self._fetch(topic, offset)
         if copy is None:
             return None
-        records = [] if copy.record is None else [copy.record]
-        return keyed_log.Listing(records, copy.end_offset)
+        return keyed_log.Listing(list(copy.records), copy.end_offset)
 
-    async def fetch_batch(self, topic: str, offset: int) -> keyed_log.Batch | None:
-        """Return another VM's newest record as a batch, or None.
+    async def fetch_batch(
+        self, topic: str, offset: int, known_keys: Iterable[str] = ()
+    ) -> keyed_log.Batch | None:
+        """Return another VM's newest records from an offset on as a batch, or None.
 
-        A record before ``offset`` is not accepted.
+        ``known_keys`` that the other VM lacks were removed; the batch says so.
         """
         copy = await self._fetch(topic, offset + 1)
-        if copy is None or copy.record is None or copy.record.offset < offset:
+        if copy is None:
+            return None
+        present = {record.key for record in copy.records}
+        records = [record for record in copy.records if record.offset >= offset]
+        records.sort(key=lambda record: record.offset)
+        records += [
+            keyed_log.Record(copy.end_offset - 1, key, None)
+            for key in known_keys
+            if key not in present
+        ]
+        if not records:
             return None
-        return keyed_log.Batch([copy.record], copy.record.offset + 1)
+        return keyed_log.Batch(records, records[-1].offset + 1)
 
     async def _fetch(self, topic: str, min_end_offset: int) -> DocumentCopy | None:
         addresses = list(self._sources())[:MAX_SOURCES_ASKED]
--- a/src/wasabivalve/vm_link/tests/test_relaying.py
+++ b/src/wasabivalve/vm_link/tests/test_relaying.py
@@ -309,6 +309,31 @@
     asyncio.run(main())
 
 
+def test_copy_holds_the_newest_record_of_each_key():
+    """A copy of the newest record alone hid the configuration from starting VMs."""
+
+    async def main():
+        ports = []
+        source = await serve_copies(ports)
+        source.put(TOPIC, RECORD)
+        evacuations = [keyed_log.Record(8 + n, f"evacuate/{n}", b"{}") for n in (0, 1)]
+        for record in evacuations:
+            source.put(TOPIC, record)
+        source.put(TOPIC, keyed_log.Record(10, "evacuate/0", None))
+        reader = copies.DocumentCopies([TOPIC], lambda: [("127.0.0.1", ports[0])])
+        kept = evacuations[1]
+        listing = await reader.fetch_listing(TOPIC, 0)
+        assert listing == keyed_log.Listing([RECORD, kept], 11)
+        # The removal of a key that the reader knows must not be lost.
+        batch = await reader.fetch_batch(TOPIC, 9, ["evacuate/0", kept.key])
+        removal = keyed_log.Record(10, "evacuate/0", None)
+        assert batch == keyed_log.Batch([kept, removal], 11)
+        assert await reader.fetch_batch(TOPIC, 10, [kept.key]) is None
+        source.close()
+
+    asyncio.run(main())
+
+
 def test_topic_without_a_record_is_copied():
     """At the start of 195 VMs each asked the store for a desired state to come."""
 
