Do not take the reset of a full instance for its end

Cause: instances that reset connections when they are full counted as ended, so that two of them had a request refused for 60 s at all VMs, and a reset while a connection opened ejected the instance at once. A request on a new connection that was reset before it was sent waited for its time limit.

Change: evidence of a reset is withdrawn once the registry, heard 5 s later, still names the incarnation; from then on resets of that service by instances whose slots may be in use count as full (quarantine.InstanceResets, gateway.reset_watch). A reset of a new connection ejects only if it is the second in a row, and proves that the request was not sent if it is noticed before.

--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -49,6 +49,7 @@
     (327, "INFO", "instance is cold and gets few requests"),
     (328, "INFO", "instance answers again; its pace starts low"),
     (329, "INFO", "instance has reached its full pace"),
+    (330, "INFO", "instance reset a connection and has not ended; it was full"),
     (340, "WARNING", "dispatcher of a service is silent or assigns no slots"),
     # Requests, 400 to 499.
     (400, "WARNING", "response of an upstream could not be read to its end"),
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -21,6 +21,7 @@
     pending_request,
     pool,
     receiving,
+    reset_watch,
     response_order,
     retry_windows,
     sending,
@@ -102,12 +103,17 @@
             slots,
             limits,
         )
-        self._sender = sending.Sender(header_format, self.selector, self.pool)
         self._crash_watch = crash_watch.CrashWatch(
             quarantine.SharedQuarantine(limits.board),
             self.metrics,
             claim_trial,
         )
+        self.resets = reset_watch.ResetWatch(
+            callbacks.list_instances, self._crash_watch.on_survived
+        )
+        self._sender = sending.Sender(
+            header_format, self.selector, self.pool, self.resets
+        )
         self._retry_windows = retry_windows.RetryWindows(retry_limits)
         self._callbacks = callbacks
         self._route_table: desired_state.RouteTable | None = None
@@ -461,8 +467,10 @@
         instance = load.instance
         if isinstance(outcome, upstream_connection.NotSent):
             pending.steps.append(outcome.reason)
-            if outcome.reason.startswith("connection"):
-                load.on_failure(now_ms, connected=False)
+            if result.is_full:
+                load.on_full(now_ms)
+            elif outcome.reason.startswith("connection"):
+                load.on_failure(now_ms, connected=outcome.was_reset)
                 self.pool.close_idle(instance)
             self._on_refusal(pending, instance)
             return None
@@ -476,11 +484,15 @@
                     reason=outcome.reason,
                 )
                 self.metrics.count("upstream.over_limit")
-            if outcome.ended_by_peer:
+            if result.is_full:
+                # It counts as an end only if the registry shows one.
+                load.on_full(now_ms)
+            else:
+                load.on_failure(now_ms, connected=True)
+            if outcome.ended_by_peer and not result.is_full:
                 self._crash_watch.on_ended(pending, instance, began_at, now_ms)
-            elif result.timed_out:
+            elif result.timed_out or result.is_full:
                 self._crash_watch.on_unanswered(pending, instance, began_at)
-            load.on_failure(now_ms, connected=True)
             self.pool.close_idle(instance)
             pending.may_have_run = True
             pending.excluded_instances.add(instance.id)
--- a/src/wasabivalve/gateway/crash_watch.py
+++ b/src/wasabivalve/gateway/crash_watch.py
@@ -29,6 +29,9 @@
 MAX_CLAIM_TIMES = 1_024
 """Requests whose last claim is kept."""
 
+MAX_ENDED = 1_024
+"""Ends that are kept, to withdraw those of instances that are still registered."""
+
 TrialClaim = Callable[[str, str], Awaitable[bool]]
 """Claim the trial ``member`` of a fingerprint for this VM; False if it is not."""
 
@@ -94,6 +97,9 @@
         self._unanswered_by_incarnation: dict[
             pool.InstanceIncarnation, collections.deque[_Unanswered]
         ] = {}
+        self._recorded: collections.deque[
+            tuple[pool.InstanceIncarnation, _Unanswered]
+        ] = collections.deque(maxlen=MAX_ENDED)
 
     def admission(
         self, pending: pending_request.PendingRequest, now: float
@@ -195,6 +201,30 @@
         """Record that an instance closed its connection under a request."""
         self._record(_unanswered(pending, began_at, now), instance, now)
 
+    def on_survived(self, reset: quarantine.InstanceReset, now: float) -> None:
+        """Withdraw the ends of an incarnation that the registry still names."""
+        incarnation = pool.InstanceIncarnation(reset.instance, reset.born)
+        name = shared_facts.incarnation_name(reset.instance, reset.born)
+        fingerprints = {
+            fingerprint
+            for recorded, unanswered in self._recorded
+            if recorded == incarnation
+            for fingerprint in (unanswered.fingerprint, unanswered.content_fingerprint)
+        }
+        withdrawn = sum(
+            self._quarantine.withdraw_ends(fingerprint, name, reset.reset_at + 1.0, now)
+            for fingerprint in fingerprints
+        )
+        self._wake()
+        self._metrics.count("upstream.reset_survived", reset.service)
+        events.emit(
+            330,
+            instance=reset.instance,
+            service=reset.service,
+            born=reset.born,
+            withdrawn=withdrawn,
+        )
+
     def on_unanswered(
         self,
         pending: pending_request.PendingRequest,
@@ -273,6 +303,9 @@
         instance: placement.RegisteredInstance,
         now: float,
     ) -> None:
+        self._recorded.append(
+            (pool.InstanceIncarnation(instance.id, instance.born), unanswered)
+        )
         incarnation = shared_facts.incarnation_name(instance.id, instance.born)
         ended = self._quarantine.on_ended(
             unanswered.fingerprint, incarnation, now, unanswered.began_at
--- a/src/wasabivalve/gateway/sending.py
+++ b/src/wasabivalve/gateway/sending.py
@@ -7,7 +7,14 @@
 from wasabivalve.placement import core as placement
 from wasabivalve.slot_dispatch import messages as slot_messages
 
-from . import instance_selection, messages, pending_request, pool, upstream_connection
+from . import (
+    instance_selection,
+    messages,
+    pending_request,
+    pool,
+    reset_watch,
+    upstream_connection,
+)
 
 HEDGE_DELAY_FACTOR = 4.0
 """Multiple of the estimated time after which an attempt counts as silent."""
@@ -15,18 +22,21 @@
 
 NOT_CONNECTED = instance_selection.SlotUse(slot_messages.SlotResult.NOT_CONNECTED)
 EXCHANGE_FAILED = instance_selection.SlotUse(slot_messages.SlotResult.FAILED)
+INSTANCE_FULL = instance_selection.SlotUse(slot_messages.SlotResult.FULL)
 
 
 class SendResult(NamedTuple):
     """Hold the outcome of one send; ``timed_out`` if the deadline passed.
 
     ``is_refusal`` is true for a response that proves that the request was not run.
+    ``is_full`` is true if the instance reset the connection because it was full.
     ``slot_use`` says what a dispatcher learns of the attempt.
     """
 
     outcome: upstream_connection.ExchangeResult | upstream_connection.NotSent
     timed_out: bool = False
     is_refusal: bool = False
+    is_full: bool = False
     slot_use: instance_selection.SlotUse = instance_selection.UNUSED_SLOT
 
 
@@ -38,10 +48,12 @@
         header_format: messages.HeaderFormat,
         selector: instance_selection.InstanceSelector,
         connections: pool.ConnectionPool,
+        resets: reset_watch.ResetWatch,
     ) -> None:
         self._header_format = header_format
         self._selector = selector
         self._pool = connections
+        self._resets = resets
 
     async def send(
         self,
@@ -79,12 +91,22 @@
                 pending.deadline_at - started_at,
                 pending.request.header(self._header_format.request_id),
             )
+            if (
+                isinstance(connection, upstream_connection.UpstreamConnection)
+                and not connection.usable
+            ):
+                # The event loop read the reset before this task went on.
+                self._pool.discard(instance, connection)
+                connection = upstream_connection.NotSent("connection reset", True)
             if isinstance(connection, upstream_connection.NotSent):
                 released = True
                 slot_use = instance_selection.UNUSED_SLOT
-                if connection.reason.startswith("connection"):
+                is_full = connection.was_reset and self._resets.is_full(load)
+                if is_full:
+                    slot_use = INSTANCE_FULL
+                elif connection.reason.startswith("connection"):
                     slot_use = NOT_CONNECTED
-                return SendResult(connection, slot_use=slot_use)
+                return SendResult(connection, is_full=is_full, slot_use=slot_use)
             now = loop.time()
             if connection.opened_at >= started_at:
                 load.round_trip_ms = 1000.0 * (now - started_at)
@@ -133,6 +155,8 @@
                 slot_use = self._selector.record_response(
                     pending, load, outcome, started_at, requests_at_start
                 )
+            elif outcome.was_reset and self._resets.is_full(load):
+                return SendResult(outcome, is_full=True, slot_use=INSTANCE_FULL)
             return SendResult(outcome, is_refusal=is_refusal, slot_use=slot_use)
         finally:
             load.in_flight -= 1
--- a/src/wasabivalve/gateway/upstream_connection.py
+++ b/src/wasabivalve/gateway/upstream_connection.py
@@ -24,9 +24,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
-    """State that no byte of the request was sent."""
+    """State that no byte of the request was sent.
+
+    ``was_reset`` is true if the server reset the new connection.
+    """
 
     reason: str
+    was_reset: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,12 +38,14 @@
     """State that bytes were sent, but no complete response was received.
 
     ``over_limit`` is true if the server sent more than a response may have, and
-    ``ended_by_peer`` if it closed or reset the connection before its response began.
+    ``ended_by_peer`` if it closed or reset the connection before its response began,
+    ``was_reset`` if it reset it then.
     """
 
     reason: str
     over_limit: bool = False
     ended_by_peer: bool = False
+    was_reset: bool = False
 
 
 ExchangeResult = messages.HttpResponse | ExchangeFailed
@@ -209,7 +215,10 @@
         # Bytes of a response prove that the server did not end when it began to run
         # the request.
         ended_by_peer = self.received_at is None
-        self._set_result(ExchangeFailed(reason, ended_by_peer=ended_by_peer))
+        was_reset = ended_by_peer and exc is not None
+        self._set_result(
+            ExchangeFailed(reason, ended_by_peer=ended_by_peer, was_reset=was_reset)
+        )
 
     def on_status(self, status: bytes) -> None:
         """Append a part of the reason phrase."""
@@ -346,5 +355,8 @@
     except TimeoutError:
         return NotSent("connection timed out")
     except OSError as error:
-        return NotSent(f"connection failed: {error.strerror or error}")
+        return NotSent(
+            f"connection failed: {error.strerror or error}",
+            isinstance(error, ConnectionResetError),
+        )
     return connection
--- a/src/wasabivalve/metrics/core.py
+++ b/src/wasabivalve/metrics/core.py
@@ -19,6 +19,7 @@
     ("upstream.handshake", "gauge", "connections opened to instances since the start"),
     ("upstream.over_limit", "counter", "responses that exceeded a limit"),
     ("upstream.ended", "counter", "connections that ended under a request"),
+    ("upstream.reset_survived", "counter", "resets by instances that did not end"),
     ("buffer.bytes", "gauge", "bytes of requests and responses that are held"),
     ("buffer.evicted", "gauge", "messages given up for lack of buffers since start"),
     ("store.call", "gauge", "calls to the platform's store since the start"),
--- a/src/wasabivalve/placement/core.py
+++ b/src/wasabivalve/placement/core.py
@@ -209,6 +209,11 @@
         fade = 0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_MS)
         return 1.0 + SLOWNESS_WEIGHT * fade * (self._slowness - 1.0)
 
+    def on_full(self, now: float) -> None:
+        """Record that the instance reset a connection because it was full."""
+        queue_length = MAX_QUEUED_PER_INSTANCE
+        self.on_report(self.instance.slots + self.in_flight, queue_length, now)
+
     def estimated_requests(self, now: float) -> float:
         """Return the estimated number of requests at the instance.
 
--- a/src/wasabivalve/placement/directory.py
+++ b/src/wasabivalve/placement/directory.py
@@ -1,5 +1,6 @@
 """Hold the registered instances, also through outages of the registry."""
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -69,6 +70,18 @@
         if was_unreachable or was_silent:
             self._recovered_at = now
 
+    @property
+    def seen_at(self) -> float:
+        """Return the time of the newest word of the registry that removals follow.
+
+        While removals are deferred after an outage, there is none.
+        """
+        if self._contact_at is None or self._unreachable_since is not None:
+            return -math.inf
+        if self.ms_since_recovery(self._contact_at) is not None:
+            return -math.inf
+        return self._contact_at
+
     def ms_since_recovery(self, now: float) -> float | None:
         """Return the time since an outage ended, None if removals are not deferred."""
         if self._recovered_at is None:
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -717,6 +717,7 @@
                 metrics_page.log_control_traffic(self._store_client, self._exchange)
             await asyncio.sleep(TICK_INTERVAL_S)
             self._instance_directory.tick(self._now_ms())
+            self._gateway.resets.on_registry_seen(self._instance_directory.seen_at)
             self._fact_sharing.tick()
             self._gateway.pool.close_expired(self._loop.time())
             self._exchange.report_traffic()
--- a/src/wasabivalve/quarantine/shared.py
+++ b/src/wasabivalve/quarantine/shared.py
@@ -114,6 +114,22 @@
         self._publish_answer(fingerprint, now)
         return len(self._evidence(fingerprint, now).ended)
 
+    def withdraw_ends(
+        self, fingerprint: str, incarnation: str, before: float, now: float
+    ) -> int:
+        """Withdraw the ends of an incarnation up to a time; return their number.
+
+        The registry still names the incarnation, which thus did not end then.
+        """
+        withdrawn = [
+            run
+            for run in crash_evidence.read(self._board, fingerprint, now).ended
+            if run.member.rstrip("+") == incarnation and run.ended_at <= before
+        ]
+        for run in withdrawn:
+            crash_evidence.record_survival(self._board, fingerprint, run, now)
+        return len(withdrawn)
+
     def on_answered(
         self, fingerprint: str, now: float, began_at: float | None = None
     ) -> int:
--- a/src/wasabivalve/shared_facts/crash_evidence.py
+++ b/src/wasabivalve/shared_facts/crash_evidence.py
@@ -106,6 +106,13 @@
     board.observe(CRASH, fingerprint, member, max(MIN_RUN_MS, now - began_at), now)
 
 
+def record_survival(
+    board: core.FactBoard, fingerprint: str, run: EndedRun, now: float
+) -> None:
+    """Withdraw the end of an incarnation that has not ended, but no later end."""
+    board.observe(CRASH, fingerprint, run.member, 0.0, now, run.ended_at + MIN_RUN_MS)
+
+
 def record_answer(
     board: core.FactBoard, fingerprint: str, began_at: float, now: float
 ) -> None:
--- a/src/wasabivalve/slot_dispatch/core.py
+++ b/src/wasabivalve/slot_dispatch/core.py
@@ -431,6 +431,9 @@
             return
         if result == messages.SlotResult.UNUSED:
             return
+        if result == messages.SlotResult.FULL:
+            load.on_full(now)
+            return
         self._failing_vms.discard(release.vm)
         route = grant.request.route
         typical_ms = self._service_time_ms_by_route.get(route, release.service_time_ms)
--- a/src/wasabivalve/slot_dispatch/messages.py
+++ b/src/wasabivalve/slot_dispatch/messages.py
@@ -29,7 +29,8 @@
     """Say how the use of a slot ended.
 
     ``UNUSED`` includes requests whose caller left; ``REFUSED`` requests were certainly
-    not run; ``NOT_CONNECTED`` and ``FAILED`` differ in whether bytes were sent.
+    not run; ``NOT_CONNECTED`` and ``FAILED`` differ in whether bytes were sent. A
+    ``FULL`` instance reset the connection, as those of its service do when full.
     """
 
     DONE = 0
@@ -38,6 +39,7 @@
     REFUSED = 3
     NOT_CONNECTED = 4
     FAILED = 5
+    FULL = 6
 
 
 class SlotRequest(msgspec.Struct, array_like=True, frozen=True, tag="sq"):
