Account in the gateway for what holding requests and responses costs

Cause: ReceiveBuffers counted bytes as received. A header line of four bytes takes 150, a body chunk of one byte 34 and a slot; trailers were kept as headers and counted nowhere, and neither were responses that a caller does not read. Closed connections stayed until the garbage collector ran, as they and their parsers refer to each other; large freed blocks stayed in the heap. Change: IncomingRequest counts cost, drops and bounds trailers and extensions; ReadPace gives tiny chunks of all connections a quarter of a processor; UnreadResponses writes a response as it is read, counts the rest and resets after the idle time without progress; the account drops the largest of incomplete and unread messages and keeps a quarter for responses. Internal listeners share an account of their own (8 MiB). The default share rises from 0.1 to 0.3, as it covers what came on top before, with room for one body of 64 MiB on a VM of 200 MB.

--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -70,6 +70,7 @@
     (412, "INFO", "request was cancelled; its caller left or its connection closes"),
     (413, "WARNING", "request failed or was refused"),
     (414, "INFO", "requests behind the last response of a connection were dropped"),
+    (415, "WARNING", "connection was reset, as its caller did not read a response"),
     (420, "INFO", "request was answered"),
     # Configuration, 500 to 599.
     (500, "INFO", "configuration is in force"),
--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -10,7 +10,13 @@
 from wasabivalve import events
 from wasabivalve.desired_state import core as desired_state
 
-from . import disconnects, messages, response_sender
+from . import (
+    disconnects,
+    incoming_request,
+    messages,
+    receiving,
+    response_sender,
+)
 
 DEFAULT_LIMITS = desired_state.CallerLimits(16_384, 67_108_864, 5_000.0, 15_000.0)
 """Limits that apply until the first desired state is known."""
@@ -45,7 +51,7 @@
         """Record that a connection was closed."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """Read the requests of a connection; ``ResponseSender`` answers them."""
 
     def __init__(self, server: RequestServer) -> None:
@@ -62,7 +68,8 @@
         self._announced_idle_s = math.inf
         self._timer: asyncio.TimerHandle | None = None
         self._receiving = False
-        self._header_bytes = 0
+        self._paced = False
+        self._pieces = 0
         self._reset_message()
 
     @property
@@ -87,6 +94,10 @@
         self._stop_disconnect_check()
         self._responses.cancel()
         self._server.buffers.release(self)
+        self._reset_message()
+        # The parser and this connection refer to each other; their memory would stay
+        # until the next run of the garbage collector.
+        self._parser = None
         self._server.on_closed(self)
 
     def pause_writing(self) -> None:
@@ -118,7 +129,8 @@
         if self._disconnect_check is None or self._transport is None:
             return
         self._stop_disconnect_check()
-        self._transport.resume_reading()
+        if not self._paced:
+            self._transport.resume_reading()
         if self._receiving:
             self._start_receive_timeout()
 
@@ -150,19 +162,25 @@
 
     def on_evicted(self) -> None:
         """Refuse the request that is being read, as the receive buffers are full."""
-        events.emit(404, bytes=self._received_body_bytes)
+        events.emit(404, bytes=self._message.cost_bytes)
         self._reject(503, "too many requests are held", FULL_BUFFERS_RETRY_AFTER_S)
 
     def eof_received(self) -> bool:
-        """Close; a caller that closed its side of the connection reads no response."""
-        return False
+        """Close, after a response that is being written.
+
+        A caller that closed its side of the connection reads no other response.
+        """
+        if not self._responses.is_sending:
+            return False
+        self.close()
+        return True
 
     def close(self) -> None:
         """Close the connection after buffered bytes are written."""
         self._closing = True
         self._stop_timer()
         if self._transport is not None:
-            self._transport.close()
+            self._responses.when_written(self._transport.close)
 
     def finish(self) -> None:
         """Close after the last response, when the caller closes or after a time."""
@@ -171,6 +189,11 @@
         if self._transport is None or self._transport.is_closing():
             return
         self.resume_reading()
+        self._responses.when_written(self._end_output)
+
+    def _end_output(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
         try:
             self._transport.write_eof()
         except OSError:
@@ -186,56 +209,87 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read, which all connections share."""
+        return receiving.READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass received bytes to the parser."""
+        self.data_received(bytes(memoryview(receiving.READ_BUFFER)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the parser."""
         if self._closing or self._input_ended:
             return
         if not self._receiving:
             self._receiving = True
-            self._header_bytes = 0
             self._start_header_timeout()
-        if not self._headers_done:
-            self._header_bytes += len(data)
-        self._server.buffers.add(self, len(data))
-        if self._closing or self._input_ended:
-            return
+        self._pieces = 0
+        self._message.add_read(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject(400, "upgrade is not supported")
         except httptools.HttpParserError as error:
             self._reject(400, f"not an HTTP request: {error}")
-        max_bytes = self._server.limits().header_bytes
-        if not self._headers_done and self._header_bytes > max_bytes:
-            self._reject(431, f"header is larger than {max_bytes} bytes")
+        self._reject_excess()
+        self._count()
+        pause_s = self._server.buffers.pace.pause_s(self._loop.time(), self._pieces)
+        if pause_s and self._transport is not None:
+            self._paced = True
+            self._transport.pause_reading()
+            self._loop.call_later(pause_s, self._end_pace)
+
+    def _end_pace(self) -> None:
+        self._paced = False
+        if self._disconnect_check is None and self._transport is not None:
+            self._transport.resume_reading()
+
+    def _reject_excess(self) -> None:
+        rejection = self._message.find_excess(self._server.limits())
+        if rejection is not None:
+            self._reject(*rejection)
+
+    def _count(self) -> None:
+        """Tell the account what the request that is being read costs by now."""
+        if self._closing or self._input_ended:
+            return
+        cost_bytes = self._message.cost_bytes
+        added_bytes = cost_bytes - self._message.counted_bytes
+        self._message.counted_bytes = cost_bytes
+        self._server.buffers.add(self, added_bytes)
 
     def on_message_begin(self) -> None:
         """Start reading a request."""
         if self._input_ended:
             return
         self._receiving = True
-        self._reset_message()
         if self._timer is None:
             # The request begins in the same bytes in which the one before ended.
             self._start_header_timeout()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
-        self._target += url
+        if not self._input_ended:
+            self._message.add_target(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name.lower(), value.strip()))
+        """Append a header; the parser calls this for trailers as well."""
+        if not self._input_ended:
+            self._message.add_field(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the announced body size and send 100 Continue if it is expected."""
         if self._input_ended:
             return
-        self._headers_done = True
+        self._message.end_head()
+        self._reject_excess()
+        if self._input_ended:
+            return
         self._stop_timer()
         self._start_body_timeout()
         max_bytes = self._server.limits().body_bytes
-        for name, value in self._headers:
+        for name, value in self._message.headers:
             if name == b"content-length" and value.isdigit() and int(value) > max_bytes:
                 self._reject(413, f"body is larger than {max_bytes} bytes")
                 return
@@ -254,11 +308,10 @@
         """Append a part of the body."""
         if self._input_ended:
             return
-        self._received_body_bytes += len(body)
-        if self._received_body_bytes > self._server.limits().body_bytes:
+        self._pieces += 1
+        self._message.add_body(body)
+        if len(self._message.body) > self._server.limits().body_bytes:
             self._reject(413, "body is too large")
-            return
-        self._chunks.append(body)
 
     def on_message_complete(self) -> None:
         """Serve the request."""
@@ -273,9 +326,13 @@
         if request is None:
             self._reject(400, "the target or the host is malformed")
             return
-        self._headers_done = False
-        self._header_bytes = 0
-        self._continue_expected = False
+        self._count()
+        if self._input_ended:
+            return
+        if not self._server.buffers.has_room_for_complete(self):
+            self.on_evicted()
+            return
+        self._reset_message()
         held_bytes = self._server.buffers.keep_complete(self)
         if not request.keep_alive:
             self.end_input()
@@ -283,21 +340,21 @@
 
     def _build_request(self) -> messages.HttpRequest | None:
         try:
-            url = httptools.parse_url(bytes(self._target))
+            url = httptools.parse_url(self._message.target)
             path = (url.path or b"/").decode("ascii")
         except (httptools.HttpParserInvalidURLError, UnicodeDecodeError):
             return None
-        hosts = [value for name, value in self._headers if name == b"host"]
+        hosts = [value for name, value in self._message.headers if name == b"host"]
         if len(hosts) != 1:
             return None
         host = hosts[0].decode("latin-1").rsplit(":", 1)[0].lower()
         return messages.HttpRequest(
             self._parser.get_method(),
-            bytes(self._target),
+            self._message.target,
             path,
             host,
-            self._headers,
-            b"".join(self._chunks),
+            self._message.headers,
+            self._message.body,
             self._parser.should_keep_alive(),
             self._loop.time(),
             self._caller,
@@ -313,11 +370,7 @@
         self._responses.refuse(messages.local_response(status, text, retry_after_s))
 
     def _reset_message(self) -> None:
-        self._target = b""
-        self._headers: messages.Headers = []
-        self._chunks: list[bytes] = []
-        self._received_body_bytes = 0
-        self._headers_done = False
+        self._message = incoming_request.IncomingRequest()
         self._continue_expected = False
 
     def _stop_timer(self) -> None:
@@ -340,7 +393,7 @@
         self._start_timer(timeout_s, lambda: self._reject(408, "header took too long"))
 
     def _start_receive_timeout(self) -> None:
-        if self._headers_done:
+        if self._message.headers_done:
             self._start_body_timeout()
         else:
             self._start_header_timeout()
--- a/src/wasabivalve/gateway/internal_http.py
+++ b/src/wasabivalve/gateway/internal_http.py
@@ -8,8 +8,20 @@
 
 from . import caller_connection, messages, receiving, response_order
 
-INTERNAL_BUFFER_BYTES = receiving.MIB
-"""Bytes of requests of other VMs and of the platform that are held at once."""
+INTERNAL_BUFFER_BYTES = 8 * receiving.MIB
+"""Memory for requests of other VMs and of the platform, and for unread responses.
+
+It is a part of its own, so that callers can't take it: a VM under their load must still
+say that it is ready and give copies of documents of a few hundred KB to 20 VMs.
+"""
+
+INTERNAL_BUFFERS = receiving.ReceiveBuffers(INTERNAL_BUFFER_BYTES)
+"""Account of all internal listeners of a process."""
+
+INTERNAL_LIMITS = caller_connection.DEFAULT_LIMITS._replace(
+    body_bytes=64 * receiving.KIB
+)
+"""Limits on requests to internal listeners, none of which has a body."""
 
 Handler = Callable[[messages.HttpRequest], Coroutine[Any, Any, messages.HttpResponse]]
 
@@ -19,13 +31,13 @@
 
     def __init__(self, handler: Handler) -> None:
         self.stopping = False
-        self.buffers = receiving.ReceiveBuffers(INTERNAL_BUFFER_BYTES)
+        self.buffers = INTERNAL_BUFFERS
         self.pipelining = response_order.Pipelining()
         self.handle = handler
 
     def limits(self) -> desired_state.CallerLimits:
         """Return limits that do not depend on the desired state."""
-        return caller_connection.DEFAULT_LIMITS
+        return INTERNAL_LIMITS
 
     def on_open(self, connection: caller_connection.CallerConnection) -> None:
         """Do nothing; these connections are not drained."""
--- a/src/wasabivalve/gateway/messages.py
+++ b/src/wasabivalve/gateway/messages.py
@@ -99,7 +99,7 @@
     path: str
     host: str
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     keep_alive: bool
     received_at: float
     caller: str = ""
@@ -163,23 +163,29 @@
     )
 
 
-def encode_request(
-    method: bytes, target: bytes, headers: Headers, body: bytes, chunked: bool
+def encode_request_head(
+    method: bytes, target: bytes, headers: Headers, body_bytes: int, chunked: bool
 ) -> bytes:
-    """Return the bytes of a request that keeps its connection open."""
+    """Return the head of a request that keeps its connection open."""
     lines = [method + b" " + target + b" HTTP/1.1\r\n"]
     lines += [name + b": " + value + b"\r\n" for name, value in headers]
-    if body or chunked or method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"content-length: %d\r\n" % len(body))
+    if body_bytes or chunked or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"content-length: %d\r\n" % body_bytes)
     lines.append(b"\r\n")
-    lines.append(body)
     return b"".join(lines)
 
 
-def encode_response(
-    response: HttpResponse, connection_headers: Headers, for_head_request: bool
+def encode_request(
+    method: bytes, target: bytes, headers: Headers, body: bytes, chunked: bool
 ) -> bytes:
-    """Return the bytes of a response with the given connection headers."""
+    """Return the bytes of a request that keeps its connection open."""
+    return encode_request_head(method, target, headers, len(body), chunked) + body
+
+
+def split_response(
+    response: HttpResponse, connection_headers: Headers, for_head_request: bool
+) -> tuple[bytes, bytes]:
+    """Return the encoded head and the body of a response."""
     reason = response.reason or REASON_BY_STATUS.get(response.status, b"")
     lines = [b"HTTP/1.1 %d " % response.status + reason + b"\r\n"]
     lines += [name + b": " + value + b"\r\n" for name, value in response.headers]
@@ -188,6 +194,13 @@
     if not response.close_delimited and not has_no_body:
         lines.append(b"content-length: %d\r\n" % len(response.body))
     lines.append(b"\r\n")
-    if not for_head_request and not has_no_body:
-        lines.append(response.body)
-    return b"".join(lines)
+    has_no_body = has_no_body or for_head_request
+    return b"".join(lines), b"" if has_no_body else response.body
+
+
+def encode_response(
+    response: HttpResponse, connection_headers: Headers, for_head_request: bool
+) -> bytes:
+    """Return the bytes of a response with the given connection headers."""
+    head, body = split_response(response, connection_headers, for_head_request)
+    return head + body
--- a/src/wasabivalve/gateway/receiving.py
+++ b/src/wasabivalve/gateway/receiving.py
@@ -5,7 +5,11 @@
 complete, so the buffers need bounds.
 """
 
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
+
+from .memory_account import ReceiveBuffers, Receiver
+
+__all__ = ["MessageLimits", "ReceiveBuffers", "Receiver", "framing_allowance"]
 
 KIB = 1024
 MIB = 1024 * 1024
@@ -22,6 +26,9 @@
 READ_BYTES = 16 * KIB
 """Bytes read at once from a connection, so that others are read in between."""
 
+READ_BUFFER = bytearray(READ_BYTES)
+"""Buffer of one read; it is parsed before the event loop reads again."""
+
 
 def framing_allowance(body_bytes: int) -> int:
     """Return how many bytes the framing of a chunked body may have."""
@@ -46,79 +53,3 @@
 
 INTERNAL_LIMITS = MessageLimits(body_bytes=8 * MIB)
 """Limits of the store and of other VMs, whose documents have up to a few hundred KB."""
-
-
-class Receiver(Protocol):
-    """Receive a message that can be given up before it is complete."""
-
-    def on_evicted(self) -> None:
-        """Give up the incomplete message and release its bytes."""
-
-
-class ReceiveBuffers:
-    """Count the bytes of the messages that connections hold, and limit their sum.
-
-    When the sum exceeds the limit, the largest incomplete message is given up: it is
-    most likely the one that never ends, and small ones are not affected.
-    """
-
-    def __init__(self, limit_bytes: int) -> None:
-        self.limit_bytes = limit_bytes
-        self.total_bytes = 0
-        self.evictions = 0
-        self._bytes_by_incomplete: dict[Receiver, int] = {}
-        self._bytes_by_complete: dict[Receiver, int] = {}
-
-    def add(self, receiver: Receiver, byte_count: int) -> None:
-        """Count received bytes; this may evict any receiver, also this one."""
-        held_bytes = self._bytes_by_incomplete.get(receiver, 0) + byte_count
-        self._bytes_by_incomplete[receiver] = held_bytes
-        self.total_bytes += byte_count
-        self._evict_incomplete()
-
-    def add_complete(self, receiver: Receiver, byte_count: int) -> None:
-        """Count a complete message; this may evict any incomplete one."""
-        held_bytes = self._bytes_by_complete.get(receiver, 0) + byte_count
-        self._bytes_by_complete[receiver] = held_bytes
-        self.total_bytes += byte_count
-        self._evict_incomplete()
-
-    def _evict_incomplete(self) -> None:
-        while self.total_bytes > self.limit_bytes and self._bytes_by_incomplete:
-            largest = max(
-                self._bytes_by_incomplete, key=self._bytes_by_incomplete.__getitem__
-            )
-            self.evictions += 1
-            largest.on_evicted()
-            self.release_incomplete(largest)
-
-    def keep_complete(self, receiver: Receiver) -> int:
-        """Count a message as complete: it is in use and can't be given up.
-
-        Return how many bytes it is counted with.
-        """
-        held_bytes = self._bytes_by_incomplete.pop(receiver, 0)
-        if held_bytes:
-            self._bytes_by_complete[receiver] = (
-                self._bytes_by_complete.get(receiver, 0) + held_bytes
-            )
-        return held_bytes
-
-    def release_incomplete(self, receiver: Receiver) -> None:
-        """Stop counting the incomplete message of a receiver."""
-        self.total_bytes -= self._bytes_by_incomplete.pop(receiver, 0)
-
-    def release(self, receiver: Receiver) -> None:
-        """Stop counting all messages of a receiver."""
-        self.release_incomplete(receiver)
-        self.release_complete(receiver)
-
-    def release_complete(
-        self, receiver: Receiver, byte_count: int | None = None
-    ) -> None:
-        """Stop counting all complete messages of a receiver, or some of their bytes."""
-        held_bytes = self._bytes_by_complete.pop(receiver, 0)
-        released_bytes = held_bytes if byte_count is None else byte_count
-        self.total_bytes -= released_bytes
-        if held_bytes > released_bytes:
-            self._bytes_by_complete[receiver] = held_bytes - released_bytes
--- a/src/wasabivalve/gateway/response_sender.py
+++ b/src/wasabivalve/gateway/response_sender.py
@@ -1,12 +1,13 @@
 """Have the requests of one connection handled and write the responses in order."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 from wasabivalve import events
 from wasabivalve.desired_state import core as desired_state
 
-from . import messages, receiving, response_order
+from . import messages, receiving, response_order, unread_responses
 
 MEMORY_SHORT_SHARE = 0.5
 """Use of the receive buffers above which only responses that need not wait begin."""
@@ -71,17 +72,32 @@
         self._order = response_order.ResponseOrder(server.pipelining.may_run_twice)
         self._tasks: set[asyncio.Task[None]] = set()
         self._writable = True
+        self._unread = unread_responses.UnreadResponses(
+            self._loop,
+            server.buffers,
+            lambda: server.limits().idle_timeout_ms / 1000.0,
+        )
         self._closed = False
         self._announced_idle_s: float | None = None
 
     @property
     def busy(self) -> bool:
-        """Return whether a request is not answered yet."""
-        return len(self._order) > 0
+        """Return whether a request is not answered yet, or its response not sent."""
+        return len(self._order) > 0 or self.is_sending
 
     def start(self, transport: asyncio.Transport) -> None:
         """Write responses to a connection."""
         self._transport = transport
+        self._unread.start(transport)
+
+    @property
+    def is_sending(self) -> bool:
+        """Return whether a part of a response waits until the caller reads."""
+        return self._unread.is_sending
+
+    def when_written(self, action: Callable[[], None]) -> None:
+        """Run an action when all that was begun is with the transport."""
+        self._unread.when_written(action)
 
     def serve(self, request: messages.HttpRequest, held_bytes: int) -> None:
         """Answer a request; the memory account counts it with ``held_bytes``."""
@@ -101,17 +117,21 @@
 
     def on_unwritable(self) -> None:
         """Write and start nothing until the caller has read."""
+        self._unread.pause()
         self._writable = False
         self._update_room()
 
     def on_writable(self) -> None:
         """Write and start what has waited."""
-        self._writable = True
-        self._advance()
+        self._unread.resume()
+        if self._unread.is_writable:
+            self._writable = True
+            self._advance()
 
     def cancel(self) -> None:
         """End the work on all requests, as nobody can get their responses."""
         self._closed = True
+        self._unread.stop()
         self._order.drop_all()
         for task in self._tasks:
             task.cancel()
@@ -187,10 +207,9 @@
             connection_headers.append((b"connection", b"close"))
         for_head_request = request is not None and request.method == b"HEAD"
         self._server.buffers.release_complete(self._reader, turn.held_bytes)
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(
-                messages.encode_response(response, connection_headers, for_head_request)
-            )
+        self._unread.write(
+            *messages.split_response(response, connection_headers, for_head_request)
+        )
         if not keep_open:
             self._finish()
 
--- a/src/wasabivalve/gateway/sending.py
+++ b/src/wasabivalve/gateway/sending.py
@@ -121,11 +121,12 @@
             pending.attempts += 1
             encoded_request_id = pending.request.header(self._header_format.request_id)
             exchange = connection.exchange(
-                self._encode(pending, instance, now),
+                self._encode_head(pending, instance, now),
                 (self._header_format.request_id, encoded_request_id)
                 if encoded_request_id
                 else None,
                 pending.request.method == b"HEAD",
+                pending.request.body,
             )
             try:
                 async with asyncio.timeout_at(pending.deadline_at):
@@ -187,7 +188,7 @@
         max_delay_ms = max(2.0 * estimate_ms, 0.5 * time_left_ms)
         return max(0.0, min(time_left_ms, hedge_delay_ms, max_delay_ms)) / 1000.0
 
-    def _encode(
+    def _encode_head(
         self,
         pending: pending_request.PendingRequest,
         instance: placement.RegisteredInstance,
@@ -216,10 +217,10 @@
         chunked = any(
             name == b"transfer-encoding" for name, _ in pending.request.headers
         )
-        return messages.encode_request(
+        return messages.encode_request_head(
             pending.request.method,
             pending.request.target,
             headers,
-            pending.request.body,
+            len(pending.request.body),
             chunked,
         )
--- /dev/null
+++ b/src/wasabivalve/gateway/unread_responses.py
@@ -0,0 +1,141 @@
+"""Write to a caller that may not read, and watch what waits to be written."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+
+from wasabivalve import events
+
+from . import memory_account
+
+WRITE_BYTES = 64 * 1024
+"""Bytes written at once; the transport copies what it can't send."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class UnreadResponses:
+    """Write responses, count what is unread, and reset when nothing is read in time.
+
+    A reset keeps a response whose end is the end of its connection from looking
+    complete.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        buffers: memory_account.ReceiveBuffers,
+        timeout_s: Callable[[], float],
+    ) -> None:
+        self._loop = loop
+        self._buffers = buffers
+        self._timeout_s = timeout_s
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._rest = memoryview(b"")
+        self._paused = False
+        self._when_written: Callable[[], None] | None = None
+
+    @property
+    def is_writable(self) -> bool:
+        """Return whether the next response may be written."""
+        return not self._paused and not self._rest
+
+    @property
+    def is_sending(self) -> bool:
+        """Return whether a part of a response is not with the transport."""
+        return bool(self._rest)
+
+    def start(self, transport: asyncio.Transport) -> None:
+        """Watch a transport."""
+        self._transport = transport
+
+    def write(self, head: bytes, body: bytes = b"") -> None:
+        """Write bytes; what the caller does not read yet of the body is not copied."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._rest:
+            # Only a refusal behind an unread response gets here.
+            self._rest = memoryview(b"".join((self._rest, head, body)))
+        else:
+            first = body[:WRITE_BYTES]
+            self._rest = memoryview(body)[len(first) :]
+            self._transport.write(head + first)
+        self._write_rest()
+
+    def pause(self) -> None:
+        """Write no more until the caller has read."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Write more, as the caller has read."""
+        self._paused = False
+        self._write_rest()
+
+    def when_written(self, action: Callable[[], None]) -> None:
+        """Run an action when the transport has all, in place of an earlier one."""
+        if self._rest:
+            self._when_written = action
+        else:
+            action()
+
+    def _write_rest(self) -> None:
+        if self._transport is None:
+            return
+        while self._rest and not self._paused:
+            piece = self._rest[:WRITE_BYTES]
+            self._rest = self._rest[WRITE_BYTES:]
+            self._transport.write(piece)
+        self._update()
+        if self._when_written is not None and not self._rest:
+            action, self._when_written = self._when_written, None
+            action()
+
+    def _update(self) -> None:
+        unwritten_bytes = self.unwritten_bytes()
+        self._buffers.set_unwritten(self, unwritten_bytes)
+        if unwritten_bytes and self._timer is None:
+            self._watch(unwritten_bytes)
+
+    def stop(self) -> None:
+        """End the watch; the connection is closed."""
+        self._transport = None
+        self._rest = memoryview(b"")
+        if self._timer is not None:
+            self._timer.cancel()
+        self._buffers.release_unwritten(self)
+
+    def unwritten_bytes(self) -> int:
+        """Return the bytes that wait to be written."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size() + len(self._rest)
+
+    def on_unwritten_evicted(self) -> None:
+        """Reset the connection, as the memory is needed."""
+        self._reset("memory is short")
+
+    def _watch(self, unwritten_bytes: int) -> None:
+        self._timer = self._loop.call_later(
+            self._timeout_s(), self._check, unwritten_bytes
+        )
+
+    def _check(self, bytes_before: int) -> None:
+        self._timer = None
+        unwritten_bytes = self.unwritten_bytes()
+        self._buffers.set_unwritten(self, unwritten_bytes)
+        if 0 < unwritten_bytes < bytes_before:
+            self._watch(unwritten_bytes)
+        elif unwritten_bytes:
+            self._reset("nothing was read in time")
+
+    def _reset(self, reason: str) -> None:
+        if self._transport is None:
+            return
+        events.emit(415, reason=reason, bytes=self.unwritten_bytes())
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._rest = memoryview(b"")
+        self._transport.abort()
--- a/src/wasabivalve/gateway/upstream_connection.py
+++ b/src/wasabivalve/gateway/upstream_connection.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from . import messages, receiving
+from . import memory_account, messages, receiving
 
 MAX_MISMATCHED_RESPONSES = 4
 """Responses to other requests that are skipped before the connection is reset."""
@@ -16,8 +16,8 @@
 MAX_REFUSED_REQUESTS = 16
 """Refused requests that a connection remembers before it is replaced."""
 
-READ_BUFFER = bytearray(receiving.READ_BYTES)
-"""Buffer of one read; it is parsed before the event loop reads again."""
+WRITE_BYTES = 64 * receiving.KIB
+"""Bytes of a body written at once; the transport copies what it can't send."""
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -82,6 +82,8 @@
         self._echoed_header: tuple[bytes, bytes] | None = None
         self._for_head_request = False
         self._mismatched_responses = 0
+        self._unsent_body = memoryview(b"")
+        self._writing_paused = False
         self._parser: Any = None
         self._reset_parser()
 
@@ -95,9 +97,12 @@
         data: bytes,
         echoed_header: tuple[bytes, bytes] | None = None,
         for_head_request: bool = False,
+        body: bytes | bytearray = b"",
     ) -> "asyncio.Future[ExchangeResult]":
         """Send a request and return the future of its response.
 
+        ``data`` is all of the request but ``body``, which is written as the server
+        reads it.
         ``echoed_header`` is the name and value of a header that the response echoes;
         responses with another value, or on a reused connection with none, belong to
         other requests and are skipped.
@@ -111,9 +116,28 @@
         self._mismatched_responses = 0
         self._overhead_bytes = self._body_bytes = self._interim_responses = 0
         self._reset_parser()
-        self._transport.write(data)
+        first = body[:WRITE_BYTES]
+        self._unsent_body = memoryview(body)[len(first) :]
+        self._transport.write(data + first)
+        self._write_body()
         return self._result
 
+    def pause_writing(self) -> None:
+        """Keep the rest of the body until the server has read."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Write more of the body."""
+        self._writing_paused = False
+        self._write_body()
+
+    def _write_body(self) -> None:
+        assert self._transport is not None
+        while self._unsent_body and not self._writing_paused and self.usable:
+            piece = self._unsent_body[:WRITE_BYTES]
+            self._unsent_body = self._unsent_body[WRITE_BYTES:]
+            self._transport.write(piece)
+
     def on_refused(self, request_id: bytes) -> None:
         """Record that the server stated that it did not run a request."""
         self.refused_request_ids.add(request_id)
@@ -154,11 +178,11 @@
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next read, which all connections share."""
-        return READ_BUFFER
+        return receiving.READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass received bytes to the parser."""
-        self.data_received(bytes(memoryview(READ_BUFFER)[:nbytes]))
+        self.data_received(bytes(memoryview(receiving.READ_BUFFER)[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the parser."""
@@ -210,6 +234,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
         self.usable = False
+        self._unsent_body = memoryview(b"")
         self._release_buffers()
         reason = "connection reset" if exc else "connection closed"
         # Bytes of a response prove that the server did not end when it began to run
@@ -219,6 +244,8 @@
         self._set_result(
             ExchangeFailed(reason, ended_by_peer=ended_by_peer, was_reset=was_reset)
         )
+        # The parser and this connection refer to each other.
+        self._parser = None
 
     def on_status(self, status: bytes) -> None:
         """Append a part of the reason phrase."""
@@ -229,6 +256,8 @@
         self._headers.append((name.lower(), value.strip()))
         if len(self._headers) > self._limits.header_fields:
             self._fail_over_limit(f"{self._limits.header_fields} header fields")
+        elif self._buffers is not None and self._result and not self._result.done():
+            self._buffers.add(self, memory_account.FIELD_BYTES)
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the body is found."""
@@ -282,6 +311,8 @@
             bytes(self._body),
             close_delimited,
         )
+        # An idle connection must not keep the body of its last response.
+        self._body = bytearray()
         self._in_body = False
         if self._is_mismatched(response):
             self._mismatched_responses += 1
@@ -299,7 +330,7 @@
             self.usable = False
         self._read_keep_alive(response)
         assert self._transport is not None
-        if self._transport.get_write_buffer_size():
+        if self._unsent_body or self._transport.get_write_buffer_size():
             # The server responded before it read the whole body, and would parse the
             # rest of the body as the next request.
             self.usable = False
--- a/src/wasabivalve/platform/settings.py
+++ b/src/wasabivalve/platform/settings.py
@@ -19,10 +19,17 @@
 DEFAULT_METRICS_PORT = 9464
 
 RECEIVE_BUFFER_SHARE_VARIABLE = "WASABIVALVE_RECEIVE_BUFFER_SHARE"
-DEFAULT_RECEIVE_BUFFER_SHARE = 0.1
-"""Share of the memory of a VM for requests and responses that are held.
+DEFAULT_RECEIVE_BUFFER_SHARE = 0.3
+"""Share of the memory of a VM for what it holds for callers and instances.
 
-A joined copy of a body and the buffers of sockets come on top of it.
+A copy of a response that is being written and the buffers of sockets come on top of it.
+"""
+
+MIN_RECEIVE_BUFFER_BYTES = 72_000_000
+MAX_RECEIVE_BUFFER_SHARE = 0.4
+"""A VM of 200 MB must hold one body of 64 MiB, the largest that the platform allows.
+
+It may take this share of a VM for it; the program itself takes 60 MB.
 """
 
 MAX_RESPONSE_BODY_MB_VARIABLE = "WASABIVALVE_MAX_RESPONSE_BODY_MB"
@@ -79,6 +86,14 @@
         )
 
 
+def receive_buffer_bytes(memory_bytes: float, share: float) -> int:
+    """Return the bytes that a VM may hold for callers and instances."""
+    one_body_bytes = min(
+        MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_SHARE * memory_bytes
+    )
+    return int(max(share * memory_bytes, one_body_bytes))
+
+
 class RejectedSettings(NamedTuple):
     """Hold all findings about a settings file that was rejected."""
 
@@ -244,12 +259,11 @@
                 )
             ),
         ),
-        receive_buffer_bytes=int(
-            BYTES_PER_MB
-            * reader.read_number("limits.memory_mb", 0.0)
-            * reader.read_positive_variable(
+        receive_buffer_bytes=receive_buffer_bytes(
+            BYTES_PER_MB * reader.read_number("limits.memory_mb", 0.0),
+            reader.read_positive_variable(
                 RECEIVE_BUFFER_SHARE_VARIABLE, DEFAULT_RECEIVE_BUFFER_SHARE
-            )
+            ),
         ),
     )
     vm_settings = vm_settings._replace(warmup_bounds=_read_warmup(value_by_bound))
