Account in the threaded daemon for what it holds for callers

Cause: waitress bounds one request, but neither all of them together nor trailers and chunk extensions short of the limit of bodies; large bodies and responses go to temporary files, which are memory on VMs without disks. It closes a connection only once the socket is writable, so that a caller that reads nothing keeps its connection and response for ever. A response makes room before its first byte and is not copied.

--- a/src/wasabivalve/entry/caller_server.py
+++ b/src/wasabivalve/entry/caller_server.py
@@ -5,14 +5,13 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-import waitress.channel
 import waitress.server
 import waitress.task
 
 from wasabivalve import events, outcomes
 from wasabivalve.schema import settings_generated
 
-from . import caller_request, clock
+from . import caller_memory, caller_request, clock
 
 # An idle or slow sender occupies a connection, but no thread, for this long.
 CHANNEL_TIMEOUT_S = 30
@@ -45,6 +44,13 @@
         self._draining = False
         self._in_flight = 0
         self._lock = threading.Lock()
+        self.memory = caller_memory.CallerMemory(
+            int(
+                caller_memory.CALLER_MEMORY_SHARE
+                * caller_memory.BYTES_PER_MB
+                * self._limits["memory_mb"]
+            )
+        )
 
     def start(self) -> None:
         """Listen and start the thread; raise OSError when the port is in use."""
@@ -61,7 +67,9 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
-        self._server.channel_class = _make_channel_class(lambda: self._draining)
+        self._server.channel_class = _make_channel_class(
+            lambda: self._draining, self.memory, self._limits["header_bytes"]
+        )
         self._thread = threading.Thread(
             target=self._server.run, name="http-front", daemon=True
         )
@@ -159,18 +167,24 @@
         return caller_request.write_json(document(), start_response)
 
 
-def _make_channel_class(is_draining: Callable[[], bool]) -> type:
+def _make_channel_class(
+    is_draining: Callable[[], bool],
+    memory: caller_memory.CallerMemory,
+    max_line_bytes: int,
+) -> type:
     """Return a channel class that closes connections after a response in a drain."""
+    channel_class: Any = caller_memory.make_channel_class(memory, max_line_bytes)
 
     class DrainingTask(waitress.task.WSGITask):
         def build_response_header(self) -> bytes:
+            self.channel.reserve(self.content_length or 0)
             if is_draining():
                 # A WSGI application must not set the Connection header. With this
                 # request header, waitress closes as if the caller had asked for it.
                 self.request.headers["CONNECTION"] = "close"
             return bytes(super().build_response_header())
 
-    class DrainingChannel(waitress.channel.HTTPChannel):
+    class DrainingChannel(channel_class):
         task_class = DrainingTask
 
     return DrainingChannel
--- a/src/wasabivalve/entry/tests/test_caller_server.py
+++ b/src/wasabivalve/entry/tests/test_caller_server.py
@@ -1,5 +1,6 @@
 """Test that invalid input of callers gets an error response and stops nothing."""
 
+import contextlib
 import json
 import socket
 
@@ -24,6 +25,7 @@
         "callers": {"host": "127.0.0.1", "port": port},
         "limits": {"body_bytes": 1_000, "header_bytes": 2_000, "threads": 2},
     }
+    document["limits"]["memory_mb"] = 1
 
     def serve(request):
         received_requests.append(request)
@@ -64,6 +66,34 @@
     assert received_requests[0].body == b"ab"
 
 
+def test_trailer_without_end_closes_the_connection(server, received_requests):
+    """Trailers were kept whole, up to the limit of bodies, and searched each time."""
+    server._server.adj.max_request_body_size = 100_000
+    head = make_request(SERVICE, "Transfer-Encoding: chunked")
+    port = server._settings["callers"]["port"]
+    with socket.create_connection(("127.0.0.1", port), 5) as connection:
+        connection.sendall(head + b"1\r\na\r\n0\r\n" + b"x: " + b"y" * 3_000)
+        # The connection stays open at this end; only the server can close it.
+        with contextlib.suppress(ConnectionResetError):
+            assert connection.recv(1) == b""
+    assert not received_requests
+
+
+def test_head_of_many_fields_is_refused_when_there_is_no_room(
+    server, received_requests
+):
+    """Heads of 16 KB made of short lines took 600 KB each, without any bound."""
+    holder = object()
+    server.memory.use(lambda account: account.add(holder, 290_000))
+    lines = [f"a{number}:" for number in range(100)]
+    status, _ = exchange(server, make_request(SERVICE, *lines))
+    assert status == 503 and not received_requests
+    assert exchange(server, make_request(SERVICE))[0] == 200
+    server.memory.use(lambda account: account.release(holder))
+    assert exchange(server, make_request(SERVICE, *lines))[0] == 200
+    assert server.memory.total_bytes == 0
+
+
 def test_draining_server_responds_and_closes_the_connection(server):
     """A keep-alive connection gets a complete response and is then closed."""
     port = server._settings["callers"]["port"]
--- a/src/wasabivalve/gateway/memory_account.py
+++ b/src/wasabivalve/gateway/memory_account.py
@@ -40,8 +40,8 @@
 class Writer(Protocol):
     """Write messages to a peer that may not read them."""
 
-    def unwritten_bytes(self) -> int:
-        """Return the bytes that wait to be written."""
+    def held_bytes(self) -> int:
+        """Return the memory of what waits to be written."""
 
     def on_unwritten_evicted(self) -> None:
         """Close the connection and release the bytes that wait to be written."""
@@ -91,12 +91,18 @@
         self._evict()
 
     def set_unwritten(self, writer: Writer, byte_count: int) -> None:
-        """Set how many bytes wait until a peer reads; may evict any, also these."""
+        """Set the memory of what a peer has to read; may evict any, also this."""
         self.total_bytes += byte_count - self._bytes_by_writer.pop(writer, 0)
         if byte_count:
             self._bytes_by_writer[writer] = byte_count
         self._evict()
 
+    def has_room(self, byte_count: int) -> bool:
+        """Return whether memory can be held without giving anything up."""
+        if self.total_bytes + byte_count > self.limit_bytes:
+            self._update_unwritten()
+        return self.total_bytes + byte_count <= self.limit_bytes
+
     def has_room_for_complete(self, receiver: Receiver) -> bool:
         """Return whether the message of a receiver may be kept while it is in use.
 
@@ -147,16 +153,19 @@
     def _evict(self) -> None:
         if self.total_bytes <= self.limit_bytes:
             return
-        # Peers have read since, without any call.
-        for writer in list(self._bytes_by_writer):
-            self.release_unwritten(writer)
-            if unwritten_bytes := writer.unwritten_bytes():
-                self._bytes_by_writer[writer] = unwritten_bytes
-                self.total_bytes += unwritten_bytes
+        self._update_unwritten()
         while self.total_bytes > self.limit_bytes:
             if not self._evict_largest():
                 return
 
+    def _update_unwritten(self) -> None:
+        # Peers have read since, without any call.
+        for writer in list(self._bytes_by_writer):
+            self.release_unwritten(writer)
+            if held_bytes := writer.held_bytes():
+                self._bytes_by_writer[writer] = held_bytes
+                self.total_bytes += held_bytes
+
     def _evict_largest(self) -> bool:
         incomplete = max(
             self._bytes_by_incomplete,
--- a/src/wasabivalve/gateway/tests/test_memory_account.py
+++ b/src/wasabivalve/gateway/tests/test_memory_account.py
@@ -29,7 +29,7 @@
         self.dropped.append("unread")
         self.unwritten = 0
 
-    def unwritten_bytes(self):
+    def held_bytes(self):
         return self.unwritten
 
 
--- a/src/wasabivalve/gateway/unread_responses.py
+++ b/src/wasabivalve/gateway/unread_responses.py
@@ -93,8 +93,8 @@
             action()
 
     def _update(self) -> None:
+        self._buffers.set_unwritten(self, self.held_bytes())
         unwritten_bytes = self.unwritten_bytes()
-        self._buffers.set_unwritten(self, unwritten_bytes)
         if unwritten_bytes and self._timer is None:
             self._watch(unwritten_bytes)
 
@@ -112,6 +112,13 @@
             return 0
         return self._transport.get_write_buffer_size() + len(self._rest)
 
+    def held_bytes(self) -> int:
+        """Return the memory of what waits; a body is held whole until its end."""
+        if self._transport is None:
+            return 0
+        body_bytes = memoryview(self._rest.obj).nbytes if self._rest else 0
+        return self._transport.get_write_buffer_size() + body_bytes
+
     def on_unwritten_evicted(self) -> None:
         """Reset the connection, as the memory is needed."""
         self._reset("memory is short")
@@ -124,7 +131,7 @@
     def _check(self, bytes_before: int) -> None:
         self._timer = None
         unwritten_bytes = self.unwritten_bytes()
-        self._buffers.set_unwritten(self, unwritten_bytes)
+        self._buffers.set_unwritten(self, self.held_bytes())
         if 0 < unwritten_bytes < bytes_before:
             self._watch(unwritten_bytes)
         elif unwritten_bytes:
--- a/src/wasabivalve/schema/settings_generated.py
+++ b/src/wasabivalve/schema/settings_generated.py
@@ -74,6 +74,7 @@
     header_bytes: NotRequired[int]
     body_bytes: NotRequired[int]
     threads: NotRequired[int]
+    memory_mb: NotRequired[int]
     response_bytes: NotRequired[int]
     request_ms: NotRequired[int]
     drain_ms: NotRequired[int]
--- a/src/wasabivalve/settings/core.py
+++ b/src/wasabivalve/settings/core.py
@@ -15,6 +15,7 @@
     "header_bytes": 16_384,
     "body_bytes": 1_048_576,
     "response_bytes": 32 * 1024 * 1024,
+    "memory_mb": 300,
     "threads": 64,
     "request_ms": 10_000,
     "drain_ms": 15_000,
