--- a/src/wasabivalve/entry/caller_memory.py
+++ b/src/wasabivalve/entry/caller_memory.py
@@ -212,7 +212,7 @@
         def on_unwritten_evicted(self) -> None:
             """Close the connection of a response that is not read."""
             events.emit(
-                414, reason="memory is short", bytes=int(self.total_outbufs_len)
+                415, reason="memory is short", bytes=int(self.total_outbufs_len)
             )
             self._drop("memory is short")
 
