--- /dev/null
+++ b/src/wasabivalve/gateway/tests/test_unread_responses.py
@@ -0,0 +1,92 @@
+"""Test how responses are written to callers that read late, or not at all."""
+
+import asyncio
+import socket
+
+from wasabivalve.gateway.tests import gateway_harness
+
+BODY = b"x" * 8_000_000
+LARGE = (
+    b"HTTP/1.1 200 OK\r\nrequest-id: @id\r\nproof: p\r\ncontent-length: %d\r\n\r\n"
+    % len(BODY)
+    + BODY
+)
+REQUEST = b"GET /safe/x HTTP/1.1\r\nhost: h\r\nrequest-id: r1\r\n"
+
+
+async def request_large(harness, headers=b""):
+    """Ask for a large response and return the socket, which has read one byte."""
+    loop = asyncio.get_running_loop()
+    connection = socket.socket()
+    connection.setblocking(False)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    await loop.sock_connect(connection, ("127.0.0.1", harness.port))
+    await loop.sock_sendall(connection, REQUEST + headers + b"\r\n")
+    assert await loop.sock_recv(connection, 1) == b"H"
+    return connection
+
+
+async def read_all(connection):
+    """Return what a caller reads until the end, or None if it was reset."""
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    try:
+        while data := await loop.sock_recv(connection, 262_144):
+            received += data
+    except ConnectionResetError:
+        return None
+    finally:
+        connection.close()
+    return bytes(received)
+
+
+def run_scenario(scenario, idle_timeout_ms=5_000.0):
+    """Run a scenario with an instance of large responses; nothing stays counted."""
+
+    async def play(harness):
+        limits = gateway_harness.LIMITS._replace(idle_timeout_ms=idle_timeout_ms)
+        harness.gateway.set_desired_state(harness.state._replace(limits=limits))
+        await scenario(harness)
+        while harness.gateway.buffers.total_bytes:
+            await asyncio.sleep(0.01)
+
+    gateway_harness.run_scenario(play, [LARGE, LARGE], timeout_ms=5_000.0)
+
+
+def test_response_is_whole_for_a_caller_that_reads_late_and_closes_its_side():
+    """A part that waits in memory must not be lost with the end of the input."""
+
+    async def scenario(harness):
+        for headers in (b"", b"connection: close\r\n"):
+            connection = await request_large(harness, headers)
+            assert harness.gateway.buffers.total_bytes >= len(BODY)
+            connection.shutdown(socket.SHUT_WR)
+            received = await read_all(connection)
+            assert received is not None and received.endswith(b"\r\n\r\n" + BODY)
+
+    run_scenario(scenario)
+
+
+def test_caller_that_reads_nothing_is_reset_after_the_idle_time():
+    """Its response and its connection stayed for ever."""
+
+    async def scenario(harness):
+        connection = await request_large(harness)
+        while harness.gateway.buffers.total_bytes:
+            await asyncio.sleep(0.01)
+        assert await read_all(connection) is None
+
+    run_scenario(scenario, idle_timeout_ms=200.0)
+
+
+def test_unread_response_is_reset_when_the_account_is_full():
+    """A part of a response must not look whole to a caller that reads on."""
+
+    async def scenario(harness):
+        connection = await request_large(harness)
+        harness.gateway.buffers.limit_bytes = 1_000_000
+        assert (await harness.send_request(method="POST", body=b"b" * 900))[0] != 200
+        assert harness.gateway.buffers.unread_evictions == 1
+        assert await read_all(connection) is None
+
+    run_scenario(scenario)
--- a/src/wasabivalve/platform/metrics_page.py
+++ b/src/wasabivalve/platform/metrics_page.py
@@ -19,8 +19,7 @@
     metrics = served_gateway.metrics
     metrics.gauge("request.in_work", served_gateway.busy_connections)
     metrics.gauge("upstream.handshake", served_gateway.pool.handshakes)
-    metrics.gauge("buffer.bytes", served_gateway.buffers.total_bytes)
-    metrics.gauge("buffer.evicted", served_gateway.buffers.evictions)
+    served_gateway.buffers.report(metrics.gauge)
     metrics.gauge("store.call", store_calls)
     metrics.gauge("instance.listed", listed_instances)
     metrics.gauge("instance.cold", limits.cold_count(now_ms))
