Release bodies that were written

Cause: the empty rest of a memoryview holds its buffer, so that an idle connection kept the last body that it had sent. Change: an empty rest is replaced; a test appends to the written bodies.

--- a/src/wasabivalve/gateway/tests/test_unread_responses.py
+++ b/src/wasabivalve/gateway/tests/test_unread_responses.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+from wasabivalve.gateway import memory_account, unread_responses
+from wasabivalve.gateway import upstream_connection as upstream_connections
 from wasabivalve.gateway.tests import gateway_harness
 
 BODY = b"x" * 8_000_000
@@ -90,3 +92,38 @@
         assert await read_all(connection) is None
 
     run_scenario(scenario)
+
+
+class SinkTransport(asyncio.Transport):
+    """Take all that is written at once."""
+
+    def write(self, data):
+        """Drop the data."""
+
+    def get_write_buffer_size(self):
+        """Return that everything was sent."""
+        return 0
+
+    def is_closing(self):
+        """Return that the connection is open."""
+        return False
+
+
+def test_bodies_are_not_held_once_they_are_written():
+    """An idle connection to an instance kept the 64 MiB that it had sent last."""
+
+    async def play():
+        buffers = memory_account.ReceiveBuffers(1_000_000)
+        loop = asyncio.get_running_loop()
+        response, request = bytearray(200_000), bytearray(200_000)
+        unread = unread_responses.UnreadResponses(loop, buffers, lambda: 1.0)
+        unread.start(SinkTransport())
+        unread.write(b"head", response)
+        connection = upstream_connections.UpstreamConnection(0.0)
+        connection.connection_made(SinkTransport())
+        connection.exchange(b"head", body=request)
+        for body in (response, request):
+            # This raises BufferError while a view of the body is held.
+            body.append(0)
+
+    asyncio.run(play())
--- a/src/wasabivalve/gateway/unread_responses.py
+++ b/src/wasabivalve/gateway/unread_responses.py
@@ -87,6 +87,9 @@
             piece = self._rest[:WRITE_BYTES]
             self._rest = self._rest[WRITE_BYTES:]
             self._transport.write(piece)
+        if not self._rest:
+            # An empty view would still hold the body.
+            self._rest = memoryview(b"")
         self._update()
         if self._when_written is not None and not self._rest:
             action, self._when_written = self._when_written, None
--- a/src/wasabivalve/gateway/upstream_connection.py
+++ b/src/wasabivalve/gateway/upstream_connection.py
@@ -137,6 +137,9 @@
             piece = self._unsent_body[:WRITE_BYTES]
             self._unsent_body = self._unsent_body[WRITE_BYTES:]
             self._transport.write(piece)
+        if not self._unsent_body:
+            # An empty view would still hold the body.
+            self._unsent_body = memoryview(b"")
 
     def on_refused(self, request_id: bytes) -> None:
         """Record that the server stated that it did not run a request."""
