Leave room for small messages beside large responses

Change: requests with large responses start one after another at 60 % of the link's rate and are refused at once if that takes too long; a dispatcher keeps them in its region while they can be on time there.

--- a/src/wasabivalve/cli/explain_command.py
+++ b/src/wasabivalve/cli/explain_command.py
@@ -34,6 +34,7 @@
 
 MEANING_BY_STEP = {
     "hopeless": "refused at once: the requests queued before it leave too little time",
+    "link-busy": "refused: large responses occupy the link of this VM for too long",
     "no-room": "refused: no instance had free capacity before its wait time ended",
     "no-time": "refused: its remaining time was less than any instance needs",
     "key-lost": "refused at once: its key gets no holder before its wait time ends",
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -25,6 +25,7 @@
     response_order,
     retry_windows,
     sending,
+    transfer_admission,
     upstream_connection,
 )
 
@@ -78,6 +79,7 @@
         slots: slot_client.SlotClient | None = None,
         limits: ramp_up.PacedLimits | None = None,
         claim_trial: crash_watch.TrialClaim | None = None,
+        link_mbps: float = math.inf,
     ) -> None:
         limits = limits or ramp_up.PacedLimits(shared_facts.FactBoard())
         self.stopping = False
@@ -103,6 +105,9 @@
             slots,
             limits,
         )
+        self._transfers = transfer_admission.TransferAdmission(
+            link_mbps, self.selector.typical_exchange_kb, self.metrics
+        )
         self._crash_watch = crash_watch.CrashWatch(
             quarantine.SharedQuarantine(limits.board),
             self.metrics,
@@ -310,6 +315,9 @@
         """
         running_attempts: set[asyncio.Task[messages.HttpResponse | None]] = set()
         hedge_delay_s: float | None = None
+        wait_deadline_at = self.selector.wait_deadline_at(pending)
+        if not await self._transfers.wait_for_bandwidth(pending, wait_deadline_at):
+            return self._failure_response(pending)
         try:
             while True:
                 if not running_attempts and not await self._wait_for_verdict(pending):
--- a/src/wasabivalve/gateway/instance_selection.py
+++ b/src/wasabivalve/gateway/instance_selection.py
@@ -471,7 +471,7 @@
             self._topology,
             self._service_time_ms(pending.route),
             pending.route.target_latency_ms,
-            self._exchange_kb_by_route.get(pending.route.name, INITIAL_EXCHANGE_KB),
+            self.typical_exchange_kb(pending.route.name),
             pending.excluded_instances if pending.key is None else (),
             pending.urgent,
             self._generator,
@@ -587,6 +587,10 @@
             route.name, placement.INITIAL_SERVICE_TIME_MS
         )
 
+    def typical_exchange_kb(self, route: str) -> float:
+        """Return the typical size of a request and its response in KB."""
+        return self._exchange_kb_by_route.get(route, INITIAL_EXCHANGE_KB)
+
     def capacity_per_s(self, instance: placement.RegisteredInstance) -> float:
         """Return the number of requests per second that an instance can serve."""
         typical_ms = self._shared_service_times.typical_ms(instance.service)
--- a/src/wasabivalve/metrics/core.py
+++ b/src/wasabivalve/metrics/core.py
@@ -33,6 +33,8 @@
         "instances whose pace this VM looks for as dispatcher",
     ),
     ("instance.evacuated_data_centres", "gauge", "evacuated data centres"),
+    ("transfer.delayed", "counter", "requests that waited for room on the VM's link"),
+    ("transfer.refused", "counter", "requests refused for lack of room on the link"),
     ("permit.wait", "timing", "time that a request waited for a slot, ms"),
     ("permit.refused", "counter", "requests that got no slot"),
     ("peer.message_dropped", "counter", "dropped messages: invalid, or unknown peer"),
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -268,6 +268,7 @@
             self._dispatch_node.client,
             self._paced_limits,
             self._fact_sharing.claim_trial,
+            vm_settings.link_mbps,
         )
         self._controller = controller.KeyLeaseController(
             vm_settings.vm,
--- a/src/wasabivalve/slot_dispatch/core.py
+++ b/src/wasabivalve/slot_dispatch/core.py
@@ -14,8 +14,8 @@
 from typing import NamedTuple
 
 from wasabivalve import ramp_up, shared_facts
+from wasabivalve.placement import bandwidth, eligibility
 from wasabivalve.placement import core as placement
-from wasabivalve.placement import eligibility
 
 from . import messages, pacing, slot_queue
 
@@ -54,6 +54,9 @@
 FREE_SLOTS_TTL_MS = 400.0
 """Age of a report of free slots after which it says nothing."""
 
+OTHER_REGION_DISTANCE = 2
+"""Distance of a data centre in another region, see ``placement.Topology``."""
+
 MIN_SPARE_SLOTS = 2
 """Free slots that another region keeps for requests of its own."""
 
@@ -163,7 +166,9 @@
         if permit not in queue.queued_by_permit:
             return replies
         wait_ms = self._expected_wait_ms(queued, now)
-        reply = self._find_free_region(request, now)
+        reply = None
+        if not self._stays_in_region(queued, wait_ms, now):
+            reply = self._find_free_region(request, now)
         if reply is None and (
             not self._has_chance(queued, wait_ms, now)
             or len(queue.queued_by_permit) > MAX_QUEUED_REQUESTS
@@ -393,6 +398,22 @@
             ):
                 yield instance
 
+    def _stays_in_region(
+        self, queued: slot_queue.QueuedRequest, wait_ms: float, now: float
+    ) -> bool:
+        """Return whether a large response is better late here than in another region.
+
+        The link between regions is narrow, and all kinds of requests share it.
+        """
+        request = queued.request
+        kilobytes = self._exchange_kb_by_route.get(request.route, INITIAL_EXCHANGE_KB)
+        if kilobytes < bandwidth.LARGE_TRANSFER_KB:
+            return False
+        transfer_ms = placement.transfer_cost_ms(
+            OTHER_REGION_DISTANCE, request.target_latency_ms, kilobytes
+        )
+        return wait_ms <= transfer_ms and now + wait_ms <= queued.start_by
+
     def _find_free_region(
         self,
         request: messages.SlotRequest,
