Keep the order of waiting requests, so that a dispatcher answers under load

It sorted all waiting requests and read all instances with their limits for each message, so that 30 % of the bookings got no reply in 160 ms and went to instances past the queue. Change: the queue of a service is kept in order for each rank; the instances of a service, their limits and capacity are read each 20 ms, and checked again before a grant; a VM finds the instances of a service without going through all of them.

--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -596,6 +596,7 @@
         after: placement.RegisteredInstance | None,
     ) -> None:
         self._record_has_effect = True
+        self._instance_views.on_change()
         self._gateway.on_instance_change(before, after)
         if before is not None and after is None:
             self._dispatch_node.remove_instance(before.id)
--- a/src/wasabivalve/platform/instance_views.py
+++ b/src/wasabivalve/platform/instance_views.py
@@ -42,6 +42,12 @@
         self._now_ms = now_ms
         self._route_regions_by_service: dict[str, list[frozenset[str]]] = {}
         self._key_regions_by_service: dict[str, _KeyRegions] = {}
+        # Each request asks several times; going through all instances takes too long.
+        self._ids_by_service: dict[str, list[str]] | None = None
+
+    def on_change(self) -> None:
+        """Look for the instances of services anew, as an instance has changed."""
+        self._ids_by_service = None
 
     def set_desired_state(self, state: desired_state.DesiredState) -> None:
         """Apply the regions of routes from now on."""
@@ -56,10 +62,16 @@
 
     def list_instances(self, service: str) -> list[placement.RegisteredInstance]:
         """Return the instances of a service."""
+        registered = self._registered()
+        if self._ids_by_service is None:
+            self._ids_by_service = {}
+            for instance in registered.values():
+                self._ids_by_service.setdefault(instance.service, []).append(
+                    instance.id
+                )
         return [
-            self._with_notices(instance)
-            for instance in self._registered().values()
-            if instance.service == service
+            self._with_notices(registered[instance_id])
+            for instance_id in self._ids_by_service.get(service, [])
         ]
 
     def list_for_keys(self, service: str) -> list[placement.RegisteredInstance]:
--- a/src/wasabivalve/slot_dispatch/core.py
+++ b/src/wasabivalve/slot_dispatch/core.py
@@ -52,6 +52,12 @@
 JITTER_SHARE = 0.02
 """Largest random share added to an estimate, to spread requests over equal ones."""
 
+LOADS_TTL_MS = 20.0
+"""Time for which the instances of a service, their limits and capacity are kept.
+
+Reading them takes as long as several messages, of which hundreds come in a second.
+"""
+
 GRANT_TTL_MS = 1_500.0
 """Time after which a slot is free again if its VM no longer lists it."""
 
@@ -111,6 +117,14 @@
         self.listed_at = now
 
 
+class _ServiceLoads(NamedTuple):
+    """Hold the loads of a service's instances and their capacity, read at a time."""
+
+    loads: list[placement.InstanceLoad]
+    capacity: float
+    read_at: float
+
+
 class SlotDispatcher:
     """Assign slots; all times are in ms of one steady clock.
 
@@ -140,6 +154,7 @@
         self._report_by_vm: dict[str, _FreeSlotsReport] = {}
         self._used_at_by_service: dict[str, float] = {}
         self._failing_vms: set[str] = set()
+        self._loads_by_service: dict[str, _ServiceLoads] = {}
 
     def on_request(
         self, request: messages.SlotRequest, now: float
@@ -152,7 +167,7 @@
             return [AddressedReply(request.vm, grant.reply)]
         self._used_at_by_service[request.service] = now
         queue = self._queue(request.service)
-        if permit in queue.queued_by_permit:
+        if permit in queue:
             return [self._reply(request, messages.ReplyState.QUEUED)]
         if not self._has_usable_instance(request, now):
             # Any region that works is better than none, even if it is busy.
@@ -168,9 +183,9 @@
             target_at,
             now + min(request.max_wait_ms, request.time_left_ms),
         )
-        queue.queued_by_permit[permit] = queued
+        queue.add(queued)
         replies = self._serve(request.service, now)
-        if permit not in queue.queued_by_permit:
+        if permit not in queue:
             return replies
         wait_ms = self._expected_wait_ms(queued, now)
         reply = None
@@ -178,13 +193,13 @@
             reply = self._find_free_region(request, now)
         if reply is None and (
             not self._has_chance(queued, wait_ms, now)
-            or len(queue.queued_by_permit) > MAX_QUEUED_REQUESTS
+            or len(queue) > MAX_QUEUED_REQUESTS
         ):
             reply = self._refuse(request, wait_ms)
         if reply is None:
             reply = self._reply(request, messages.ReplyState.QUEUED)
         else:
-            del queue.queued_by_permit[permit]
+            queue.remove(permit)
         return [*replies, reply]
 
     def on_release(
@@ -195,7 +210,7 @@
         grant = self._grant_by_permit.pop(permit, None)
         if grant is None:
             for queue in self._queue_by_service.values():
-                queue.queued_by_permit.pop(permit, None)
+                queue.remove(permit)
             return []
         if release.reported_requests >= 0:
             # The report counts the request that has just ended, as ``in_flight`` does.
@@ -234,11 +249,11 @@
                 del self._used_at_by_service[service]
                 continue
             free = 0.0
-            if not self._queue(service).queued_by_permit:
-                for instance in self._own_instances(service):
-                    load = self._load(instance, now)
+            if not len(self._queue(service)):
+                for load in self._own_loads(service, now):
                     if now >= load.ejected_until and not load.limit_wait_ms(0, now):
-                        free += max(0.0, instance.slots - load.estimated_requests(now))
+                        slots = load.instance.slots
+                        free += max(0.0, slots - load.estimated_requests(now))
             free_by_service[service] = int(free)
         return free_by_service
 
@@ -246,15 +261,15 @@
         """Refuse requests without a chance, and free the slots of silent VMs."""
         replies = []
         for service, queue in self._queue_by_service.items():
-            if not self._is_any_usable(self._own_instances(service), now):
+            if not self._is_any_usable(self._own_loads(service, now), now):
                 state = messages.ReplyState.NO_INSTANCE
                 replies.extend(self._send_away(queue, state))
-            for permit, queued in list(queue.queued_by_permit.items()):
+            for queued in queue.requests():
                 if now < queued.start_by:
                     continue
                 wait_ms = self._expected_wait_ms(queued, now)
                 if not self._has_chance(queued, wait_ms, now):
-                    del queue.queued_by_permit[permit]
+                    queue.remove(queued.permit)
                     replies.append(self._refuse(queued.request, wait_ms))
         silent = [
             permit
@@ -278,18 +293,19 @@
         """Discard what was observed of an ended incarnation."""
         self._limits.remove(instance)
         self._load_by_instance.pop(instance, None)
+        self._loads_by_service.clear()
 
     def _serve(self, service: str, now: float) -> list[AddressedReply]:
         """Grant free slots to queued requests, in their order."""
         queue = self._queue(service)
         replies: list[AddressedReply] = []
-        if not queue.queued_by_permit or not self._has_free_slot(service, now):
+        if not len(queue) or not self._has_free_slot(service, now):
             return replies
-        for permit, queued in queue.in_order(now):
+        for queued in queue.in_order(now):
             granted = self._try_grant(queued.request, now, queued.target_at)
             if granted is None:
                 continue
-            del queue.queued_by_permit[permit]
+            queue.remove(queued.permit)
             replies.append(granted)
             if not self._has_free_slot(service, now):
                 break
@@ -299,6 +315,9 @@
         self, request: messages.SlotRequest, now: float, target_at: float
     ) -> AddressedReply | None:
         load = self._choose(request, now, target_at)
+        if load is not None and not self._is_current(load.instance):
+            self._loads_by_service.clear()
+            load = self._choose(request, now, target_at)
         if load is None:
             return None
         instance = load.instance
@@ -362,42 +381,66 @@
     def _send_away(
         self, queue: slot_queue.SlotQueue, state: messages.ReplyState
     ) -> list[AddressedReply]:
-        replies = [
-            self._reply(queued.request, state)
-            for queued in queue.queued_by_permit.values()
-        ]
-        queue.queued_by_permit.clear()
+        replies = [self._reply(queued.request, state) for queued in queue.requests()]
+        queue.clear()
         return replies
 
     def _has_usable_instance(self, request: messages.SlotRequest, now: float) -> bool:
         """Return whether an instance of this region may get a request, if not now."""
         if not eligibility.allows_region(request.allowed_regions, self._region):
             return False
-        instances = (
-            instance
-            for instance in self._own_instances(request.service)
-            if instance.id not in request.excluded and request.only in ("", instance.id)
+        loads = (
+            load
+            for load in self._own_loads(request.service, now)
+            if load.instance.id not in request.excluded
+            and request.only in ("", load.instance.id)
         )
-        return self._is_any_usable(instances, now)
+        return self._is_any_usable(loads, now)
 
     def _is_any_usable(
-        self, instances: Iterable[placement.RegisteredInstance], now: float
+        self, loads: Iterable[placement.InstanceLoad], now: float
     ) -> bool:
-        return any(
-            now >= self._load(instance, now).ejected_until for instance in instances
-        )
+        return any(now >= load.ejected_until for load in loads)
 
     def _has_free_slot(self, service: str, now: float) -> bool:
         return any(True for _ in self._free_loads(service, now))
 
     def _free_loads(self, service: str, now: float) -> Iterable[placement.InstanceLoad]:
-        for instance in self._own_instances(service):
-            load = self._load(instance, now)
+        for load in self._own_loads(service, now):
             if now < load.ejected_until or load.limit_wait_ms(0, now) > 0.0:
                 continue
-            if load.estimated_requests(now) + 0.5 <= max(1, instance.slots):
+            if load.estimated_requests(now) + 0.5 <= max(1, load.instance.slots):
                 yield load
 
+    def _is_current(self, instance: placement.RegisteredInstance) -> bool:
+        """Return whether an instance may still get requests."""
+        current = (instance.id, instance.born, False)
+        return any(
+            (known.id, known.born, known.draining) == current
+            for known in self._list_instances(instance.service)
+        )
+
+    def _own_loads(self, service: str, now: float) -> list[placement.InstanceLoad]:
+        """Return the loads of the instances of this region that may get requests."""
+        return self._read_loads(service, now).loads
+
+    def _capacity(self, service: str, now: float) -> float:
+        """Return the slots of a service, each weighed by the speed of its instance."""
+        return self._read_loads(service, now).capacity
+
+    def _read_loads(self, service: str, now: float) -> _ServiceLoads:
+        known = self._loads_by_service.get(service)
+        if known is not None and known.read_at <= now < known.read_at + LOADS_TTL_MS:
+            return known
+        loads = [self._load(instance, now) for instance in self._own_instances(service)]
+        capacity = sum(
+            load.instance.slots / max(0.1, load.service_time_ratio)
+            for load in loads
+            if now >= load.ejected_until
+        )
+        known = self._loads_by_service[service] = _ServiceLoads(loads, capacity, now)
+        return known
+
     def _own_instances(self, service: str) -> Iterable[placement.RegisteredInstance]:
         for instance in self._list_instances(service):
             if eligibility.may_serve(
@@ -501,11 +544,7 @@
         service = queued.request.service
         if queued.request.only:
             return self._expected_wait_at_ms(queued.request.only, service, now)
-        capacity = sum(
-            load.instance.slots / max(0.1, load.service_time_ratio)
-            for instance in self._own_instances(service)
-            if now >= (load := self._load(instance, now)).ejected_until
-        )
+        capacity = self._capacity(service, now)
         return max(
             self._queue(service).expected_wait_ms(queued, capacity, now),
             self._limit_wait_ms(service, now),
@@ -515,8 +554,7 @@
         """Return the time until the queued requests of one instance may go."""
         load = self._load_by_instance.get(only)
         ahead = sum(
-            queued.request.only == only
-            for queued in self._queue(service).queued_by_permit.values()
+            queued.request.only == only for queued in self._queue(service).requests()
         )
         return 0.0 if load is None else load.limit_wait_ms(max(0, ahead - 1), now)
 
@@ -525,14 +563,15 @@
         if not self._limits.has_any:
             return 0.0
         rate_per_ms = 0.0
-        for instance in self._own_instances(service):
-            if now < self._load(instance, now).ejected_until:
+        for load in self._own_loads(service, now):
+            instance = load.instance
+            if now < load.ejected_until:
                 continue
             limit_per_s = self._limits.limit_per_s(instance, now)
             if limit_per_s is None:
                 return 0.0
             rate_per_ms += GRANTED_LIMIT_SHARE * limit_per_s / SECOND_MS
-        queue_length = len(self._queue(service).queued_by_permit)
+        queue_length = len(self._queue(service))
         return queue_length / rate_per_ms if rate_per_ms > 0.0 else math.inf
 
     def _has_chance(
