Pass on large responses while they are read

Cause: every response was buffered whole, so that a caller got the first byte of 540 KB after the last one had arrived, and a caller that did not read let responses of any size fill the memory.

Change: gateway/response_stream.py holds what was received and not yet passed on, and pauses reading from the instance at 64 KiB. From then on there is no retry; a stream that breaks or passes the deadline resets the caller's connection. The attempt, its slot and the instance's connection end with the stream. Bytes that wait for callers are counted in ReceiveBuffers apart; above three quarters of the limit, requests are refused before they are forwarded. A connection that is aborted is reset.

--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -147,7 +147,8 @@
         """Notice that the caller left although nothing is read from it."""
         if self._transport is None:
             return
-        if disconnects.has_left(self._transport):
+        has_left = disconnects.has_left(self._transport)
+        if has_left and not self._responses.is_sending:
             self._disconnect_check = None
             self.abort()
             return
@@ -204,10 +205,10 @@
         self._start_timer(LINGER_S, self._transport.close)
 
     def abort(self) -> None:
-        """Close the connection without writing buffered bytes."""
+        """Reset the connection, so that no response looks complete."""
         self._closing = True
         if self._transport is not None:
-            self._transport.abort()
+            disconnects.reset(self._transport)
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next read, which all connections share."""
@@ -358,6 +359,7 @@
             self._parser.should_keep_alive(),
             self._loop.time(),
             self._caller,
+            takes_chunks=self._parser.get_http_version() != "1.0",
         )
 
     def _reject(
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -360,7 +360,7 @@
                     hedge_delay_s = self._start_hedge(pending, running_attempts)
         finally:
             for attempt in running_attempts:
-                attempt.cancel()
+                sending.give_up(attempt)
             assert self._loop is not None
             self._crash_watch.end_trial(pending, 1000.0 * self._loop.time())
 
@@ -415,11 +415,13 @@
 
         task = self._loop.create_task(attempt())
 
-        def on_done(_: object) -> None:
+        def on_done(attempt: sending.Attempt) -> None:
             # A task that is cancelled before its first step runs no code of its own.
             if not counted_by_sender:
                 choice.load.in_flight -= 1
-            self.selector.release_slot(choice, slot_use)
+            sending.when_received(
+                attempt, lambda: self.selector.release_slot(choice, slot_use)
+            )
 
         task.add_done_callback(on_done)
         return task
@@ -549,6 +551,9 @@
         """
         assert self._loop is not None
         wait_deadline_at = self.selector.wait_deadline_at(pending)
+        if self.buffers.is_filled:
+            pending.steps.append("no-memory")
+            return False
         if not await pending.wait_for_room(wait_deadline_at):
             return False
         while True:
--- a/src/wasabivalve/gateway/disconnects.py
+++ b/src/wasabivalve/gateway/disconnects.py
@@ -1,11 +1,15 @@
-"""Notice that a peer has closed its connection although nothing is read from it."""
+"""Notice that a peer that is not read has left, and reset connections."""
 
 import asyncio
 import select
+import socket
+import struct
 
 LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 """Events that the kernel reports also while received bytes are unread."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 def has_left(transport: asyncio.Transport) -> bool:
     """Return whether the peer has closed or reset a connection, without waiting."""
@@ -15,3 +19,15 @@
     poll = select.poll()
     poll.register(sock.fileno(), LEFT_EVENTS)
     return bool(poll.poll(0))
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Close a connection at once; the peer sees an error, and unsent bytes are lost."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        except OSError:
+            # The socket is closed already; nothing is left to drop.
+            pass
+    transport.abort()
--- a/src/wasabivalve/gateway/memory_account.py
+++ b/src/wasabivalve/gateway/memory_account.py
@@ -25,6 +25,13 @@
 """
 
 
+MAX_WAITING_SHARE = 0.75
+"""Share of the account that responses may take before no further request is forwarded.
+
+The rest is left to the responses to requests that are already in progress.
+"""
+
+
 def field_cost(name: bytes, value: bytes) -> int:
     """Return the bytes of memory that a header field takes."""
     return FIELD_BYTES + len(name) + len(value)
@@ -62,10 +69,12 @@
         self.total_bytes = 0
         self.evictions = 0
         self.unread_evictions = 0
+        self.waiting_bytes = 0
         self.pace = read_pace.ReadPace()
         self._complete_bytes = 0
         self._bytes_by_incomplete: dict[Receiver, int] = {}
         self._bytes_by_complete: dict[Receiver, int] = {}
+        self._bytes_by_waiting: dict[Receiver, int] = {}
         self._bytes_by_writer: dict[Writer, int] = {}
 
     def report(self, gauge: Callable[[str, float], None]) -> None:
@@ -90,6 +99,31 @@
         self.total_bytes += byte_count
         self._evict()
 
+    @property
+    def is_filled(self) -> bool:
+        """Return whether responses that wait for callers leave too little room."""
+        return self.waiting_bytes > MAX_WAITING_SHARE * self.limit_bytes
+
+    def add_waiting(self, receiver: Receiver, byte_count: int) -> None:
+        """Count bytes that wait for their caller; they are not given up any more.
+
+        This may evict any incomplete message.
+        """
+        held_bytes = self._bytes_by_waiting.get(receiver, 0) + byte_count
+        self._bytes_by_waiting[receiver] = held_bytes
+        self.waiting_bytes += byte_count
+        self.total_bytes += byte_count
+        self._evict()
+
+    def release_waiting(self, receiver: Receiver, byte_count: int) -> None:
+        """Stop counting bytes that were passed on or dropped."""
+        held_bytes = self._bytes_by_waiting.pop(receiver, 0)
+        released_bytes = min(held_bytes, byte_count)
+        self.waiting_bytes -= released_bytes
+        self.total_bytes -= released_bytes
+        if held_bytes > released_bytes:
+            self._bytes_by_waiting[receiver] = held_bytes - released_bytes
+
     def set_unwritten(self, writer: Writer, byte_count: int) -> None:
         """Set the memory of what a peer has to read; may evict any, also this."""
         self.total_bytes += byte_count - self._bytes_by_writer.pop(writer, 0)
@@ -134,13 +168,16 @@
         """Stop counting all messages of a receiver."""
         self.release_incomplete(receiver)
         self.release_complete(receiver)
+        self.release_waiting(receiver, self._bytes_by_waiting.get(receiver, 0))
 
     def release_complete(
         self, receiver: Receiver, byte_count: int | None = None
     ) -> None:
         """Stop counting all complete messages of a receiver, or some of their bytes."""
         held_bytes = self._bytes_by_complete.pop(receiver, 0)
-        released_bytes = held_bytes if byte_count is None else byte_count
+        released_bytes = (
+            held_bytes if byte_count is None else min(held_bytes, byte_count)
+        )
         self._complete_bytes -= released_bytes
         self.total_bytes -= released_bytes
         if held_bytes > released_bytes:
--- a/src/wasabivalve/gateway/messages.py
+++ b/src/wasabivalve/gateway/messages.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from . import response_stream
+
 Headers = list[tuple[bytes, bytes]]
 
 UNFORWARDED_HEADERS = frozenset(
@@ -91,7 +93,8 @@
     """Hold a complete request; ``received_at`` is in s of the event loop's clock.
 
     ``caller`` is the address of the caller. The request may be forwarded while
-    ``may_begin`` is set; None means always.
+    ``may_begin`` is set; None means always. Its response may be passed on before it is
+    complete if ``may_stream`` returns so.
     """
 
     method: bytes
@@ -104,6 +107,8 @@
     received_at: float
     caller: str = ""
     may_begin: asyncio.Event | None = None
+    may_stream: Callable[[], bool] | None = None
+    takes_chunks: bool = True
 
     def fingerprint(self, caller: str = "") -> str:
         """Return a digest that stays the same when a caller sends a request anew.
@@ -124,13 +129,17 @@
 
 
 class HttpResponse(NamedTuple):
-    """Hold a response; a ``close_delimited`` one ends with its connection."""
+    """Hold a response; a ``close_delimited`` one ends with its connection.
+
+    If ``stream`` is set, it holds the body in place of ``body``.
+    """
 
     status: int
     reason: bytes
     headers: Headers
     body: bytes
     close_delimited: bool = False
+    stream: response_stream.ResponseStream | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
@@ -185,12 +194,20 @@
 def split_response(
     response: HttpResponse, connection_headers: Headers, for_head_request: bool
 ) -> tuple[bytes, bytes]:
-    """Return the encoded head and the body of a response."""
+    """Return the encoded head and the body of a response; a streamed one has none."""
     reason = response.reason or REASON_BY_STATUS.get(response.status, b"")
     lines = [b"HTTP/1.1 %d " % response.status + reason + b"\r\n"]
     lines += [name + b": " + value + b"\r\n" for name, value in response.headers]
     lines += [name + b": " + value + b"\r\n" for name, value in connection_headers]
     has_no_body = response.status in (204, 304)
+    if response.stream is not None:
+        length = response.stream.body_bytes
+        lines.append(
+            b"transfer-encoding: chunked\r\n\r\n"
+            if length is None
+            else b"content-length: %d\r\n\r\n" % length
+        )
+        return b"".join(lines), b""
     if not response.close_delimited and not has_no_body:
         lines.append(b"content-length: %d\r\n" % len(response.body))
     lines.append(b"\r\n")
--- a/src/wasabivalve/gateway/response_order.py
+++ b/src/wasabivalve/gateway/response_order.py
@@ -38,14 +38,15 @@
     """Hold the place of one request in the order of responses.
 
     ``request`` is None for a local refusal of bytes that are no request. ``held_bytes``
-    is what the memory account counts for the request and its response. A started
-    request is forwarded while ``may_begin`` is set.
+    and ``waiting_bytes`` are what the memory account counts for the request and for its
+    response. A started request is forwarded while ``may_begin`` is set.
     """
 
     def __init__(self, request: messages.HttpRequest | None, held_bytes: int) -> None:
         self.may_begin = asyncio.Event()
-        self.request = request and request._replace(may_begin=self.may_begin)
+        self.request = request
         self.held_bytes = held_bytes
+        self.waiting_bytes = 0
         self.started = False
         self.response: messages.HttpResponse | None = None
 
@@ -122,6 +123,11 @@
         turn.started = self._may_run_now(turn)
         return turn.started
 
+    def remove_first(self, turn: Turn) -> None:
+        """Remove the first request, whose response was streamed to its end."""
+        assert self.is_first(turn)
+        self._turns.popleft()
+
     def is_first(self, turn: Turn) -> bool:
         """Return whether all requests before this one are answered."""
         return bool(self._turns) and turn is self._turns[0]
--- a/src/wasabivalve/gateway/sending.py
+++ b/src/wasabivalve/gateway/sending.py
@@ -1,18 +1,22 @@
 """Send a request to an instance and return its response."""
 
 import asyncio
+import functools
+from collections.abc import Callable
 from typing import NamedTuple
 
-from wasabivalve import retries
+from wasabivalve import events, retries
 from wasabivalve.placement import core as placement
 from wasabivalve.slot_dispatch import messages as slot_messages
 
 from . import (
+    instance_responses,
     instance_selection,
     messages,
     pending_request,
     pool,
     reset_watch,
+    response_stream,
     upstream_connection,
 )
 
@@ -40,6 +44,33 @@
     slot_use: instance_selection.SlotUse = instance_selection.UNUSED_SLOT
 
 
+Attempt = asyncio.Task[messages.HttpResponse | None]
+
+
+def when_received(attempt: Attempt, action: Callable[[], None]) -> None:
+    """Call an action when a finished attempt has received its response to its end."""
+    stream = _stream_of(attempt)
+    if stream is None:
+        action()
+    else:
+        stream.when_ended(lambda _: action())
+
+
+def give_up(attempt: Attempt) -> None:
+    """End an attempt whose response is not used."""
+    attempt.cancel()
+    stream = _stream_of(attempt) if attempt.done() else None
+    if stream is not None:
+        stream.abandon()
+
+
+def _stream_of(attempt: Attempt) -> response_stream.ResponseStream | None:
+    if attempt.cancelled() or attempt.exception() is not None:
+        return None
+    response = attempt.result()
+    return None if response is None else response.stream
+
+
 class Sender:
     """Send requests over pooled connections."""
 
@@ -74,7 +105,7 @@
         connection: (
             upstream_connection.UpstreamConnection | upstream_connection.NotSent | None
         ) = None
-        released = False
+        released = streaming = False
         try:
             max_open = max(
                 2,
@@ -127,6 +158,7 @@
                 else None,
                 pending.request.method == b"HEAD",
                 pending.request.body,
+                functools.partial(self._may_stream, pending.request),
             )
             try:
                 async with asyncio.timeout_at(pending.deadline_at):
@@ -152,21 +184,72 @@
                 if is_refusal and encoded_request_id is not None:
                     connection.on_refused(encoded_request_id)
                 released = True
-                self._pool.release(instance, connection)
+                if outcome.stream is None:
+                    self._pool.release(instance, connection)
                 slot_use = self._selector.record_response(
                     pending, load, outcome, started_at, requests_at_start
                 )
+                if outcome.stream is not None:
+                    streaming = True
+                    self._follow_stream(pending, load, connection, outcome.stream)
             elif outcome.was_reset and self._resets.is_full(load):
                 return SendResult(outcome, is_full=True, slot_use=INSTANCE_FULL)
             return SendResult(outcome, is_refusal=is_refusal, slot_use=slot_use)
         finally:
-            load.in_flight -= 1
+            if not streaming:
+                load.in_flight -= 1
             if not released and isinstance(
                 connection, upstream_connection.UpstreamConnection
             ):
                 self._pool.discard(instance, connection)
+            if not streaming:
+                self._selector.on_attempt_end(pending)
+
+    def _may_stream(
+        self, request: messages.HttpRequest, head: messages.HttpResponse
+    ) -> bool:
+        """Return whether a response may be passed on before it is complete."""
+        return (
+            request.may_stream is not None
+            and 200 <= head.status < 300
+            and not instance_responses.is_invalid(head, self._header_format)
+            and (request.takes_chunks or head.header(b"content-length") is not None)
+            and request.may_stream()
+        )
+
+    def _follow_stream(
+        self,
+        pending: pending_request.PendingRequest,
+        load: placement.InstanceLoad,
+        connection: upstream_connection.UpstreamConnection,
+        stream: response_stream.ResponseStream,
+    ) -> None:
+        """Give up a stream at its deadline, and end its attempt when it ends."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.call_at(
+            pending.deadline_at, stream.break_off, "no end of the answer in time"
+        )
+
+        def on_end(end: response_stream.StreamEnd) -> None:
+            deadline.cancel()
+            load.in_flight -= 1
+            if end == response_stream.StreamEnd.COMPLETE:
+                self._pool.release(load.instance, connection)
+            else:
+                self._pool.discard(load.instance, connection)
+            if end == response_stream.StreamEnd.BROKEN:
+                events.emit(
+                    400,
+                    request=pending.request_id,
+                    instance=load.instance.id,
+                    reason=stream.reason,
+                )
+                load.on_failure(1000.0 * loop.time(), connected=True)
+                self._pool.close_idle(load.instance)
             self._selector.on_attempt_end(pending)
 
+        stream.when_ended(on_end)
+
     def hedge_delay_s(
         self, pending: pending_request.PendingRequest, estimate_ms: float
     ) -> float | None:
--- a/src/wasabivalve/gateway/unread_responses.py
+++ b/src/wasabivalve/gateway/unread_responses.py
@@ -1,19 +1,15 @@
 """Write to a caller that may not read, and watch what waits to be written."""
 
 import asyncio
-import socket
-import struct
 from collections.abc import Callable
 
 from wasabivalve import events
 
-from . import memory_account
+from . import disconnects, memory_account
 
 WRITE_BYTES = 64 * 1024
 """Bytes written at once; the transport copies what it can't send."""
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 
 class UnreadResponses:
     """Write responses, count what is unread, and reset when nothing is read in time.
@@ -144,8 +140,5 @@
         if self._transport is None:
             return
         events.emit(415, reason=reason, bytes=self.unwritten_bytes())
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._rest = memoryview(b"")
-        self._transport.abort()
+        disconnects.reset(self._transport)
--- a/src/wasabivalve/gateway/upstream_connection.py
+++ b/src/wasabivalve/gateway/upstream_connection.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import dataclasses
-import socket
-import struct
+from collections.abc import Callable
 from typing import Any
 
 import httptools
 
-from . import memory_account, messages, receiving
+from . import disconnects, memory_account, messages, receiving, response_stream
 
 MAX_MISMATCHED_RESPONSES = 4
 """Responses to other requests that are skipped before the connection is reset."""
@@ -19,7 +18,8 @@
 WRITE_BYTES = 64 * receiving.KIB
 """Bytes of a body written at once; the transport copies what it can't send."""
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+StreamCheck = Callable[[messages.HttpResponse], bool]
+"""Decide by the head of a response whether it may be passed on while it is read."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +81,8 @@
         self._result: asyncio.Future[ExchangeResult] | None = None
         self._echoed_header: tuple[bytes, bytes] | None = None
         self._for_head_request = False
+        self._may_stream: StreamCheck | None = None
+        self._stream: response_stream.ResponseStream | None = None
         self._mismatched_responses = 0
         self._unsent_body = memoryview(b"")
         self._writing_paused = False
@@ -98,6 +100,7 @@
         echoed_header: tuple[bytes, bytes] | None = None,
         for_head_request: bool = False,
         body: bytes | bytearray = b"",
+        may_stream: StreamCheck | None = None,
     ) -> "asyncio.Future[ExchangeResult]":
         """Send a request and return the future of its response.
 
@@ -105,7 +108,8 @@
         reads it.
         ``echoed_header`` is the name and value of a header that the response echoes;
         responses with another value, or on a reused connection with none, belong to
-        other requests and are skipped.
+        other requests and are skipped. If ``may_stream`` allows it, the future of a
+        large response is done before its body is complete.
         """
         assert self._transport is not None and self._result is None
         self.exchange_count += 1
@@ -113,6 +117,8 @@
         self.received_at = None
         self._echoed_header = echoed_header
         self._for_head_request = for_head_request
+        self._may_stream = may_stream
+        self._stream = None
         self._mismatched_responses = 0
         self._overhead_bytes = self._body_bytes = self._interim_responses = 0
         self._reset_parser()
@@ -151,16 +157,8 @@
         """Reset the connection, so that bytes in transit are dropped."""
         self.usable = False
         self._release_buffers()
-        if self._transport is None:
-            return
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None:
-            try:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            except OSError:
-                # The socket is closed already; nothing is left to drop.
-                pass
-        self._transport.abort()
+        if self._transport is not None:
+            disconnects.reset(self._transport)
 
     def close(self) -> None:
         """Close an idle connection."""
@@ -189,13 +187,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the parser."""
-        if self._result is None or self._result.done():
+        if self._result is None or (self._result.done() and self._stream is None):
             # No exchange is in progress, so these bytes belong to no request.
             self.abort()
             return
         self.received_at = asyncio.get_running_loop().time()
         self._overhead_bytes += len(data)
-        if self._buffers is not None:
+        if self._buffers is not None and self._stream is None:
             self._buffers.add(self, len(data))
             if self._result.done():
                 return
@@ -218,6 +216,7 @@
 
     def _fail(self, failure: ExchangeFailed) -> None:
         """Fail the exchange and drop what the server still sends."""
+        self._break_stream(failure.reason)
         if self._result is not None and not self._result.done():
             self._set_result(failure)
             self._reset_message()
@@ -240,6 +239,7 @@
         self._unsent_body = memoryview(b"")
         self._release_buffers()
         reason = "connection reset" if exc else "connection closed"
+        self._break_stream(reason)
         # Bytes of a response prove that the server did not end when it began to run
         # the request.
         ended_by_peer = self.received_at is None
@@ -278,9 +278,13 @@
         """Append a part of the body."""
         self._overhead_bytes -= len(body)
         self._body_bytes += len(body)
-        if self._result is None or self._result.done():
+        if self._stream is not None:
+            self._stream.feed(body)
+        elif self._result is None or self._result.done():
             return
-        self._body += body
+        else:
+            self._body += body
+            self._start_stream()
         if self._body_bytes > self._limits.body_bytes:
             self._fail_over_limit(f"{self._limits.body_bytes} bytes of body")
 
@@ -303,7 +307,58 @@
             self.usable = False
         self._complete_response(close_delimited=not self._self_delimited)
 
+    def _start_stream(self) -> None:
+        """Pass on the response from now on if it is large and certainly the right one.
+
+        A body without a length ends with its connection, so that a broken one could
+        look complete; it is read to its end.
+        """
+        if (
+            len(self._body) <= response_stream.STREAM_FROM_BYTES
+            or self._may_stream is None
+            or self._echoed_header is None
+            or not self._self_delimited
+        ):
+            return
+        head = messages.HttpResponse(self._status, self._reason, self._headers, b"")
+        if self._is_mismatched(head) or not self._may_stream(head):
+            return
+        assert self._transport is not None
+        length = head.header(b"content-length")
+        stream = response_stream.ResponseStream(
+            None if length is None else int(length),
+            self._buffers,
+            self._transport.pause_reading,
+            self._transport.resume_reading,
+        )
+        self._release_buffers()
+        body, self._body = bytes(self._body), bytearray()
+        self._stream = stream
+        stream.feed(body)
+        self._set_result(head._replace(stream=stream))
+
+    def _break_stream(self, reason: str) -> None:
+        if self._stream is not None:
+            stream, self._stream = self._stream, None
+            stream.break_off(reason)
+
+    def _end_stream(self) -> None:
+        """Record that the body of a stream was received to its end."""
+        assert self._stream is not None and self._transport is not None
+        stream, self._stream = self._stream, None
+        self._in_body = False
+        keep_alive = self._parser.should_keep_alive()
+        unsent = self._unsent_body or self._transport.get_write_buffer_size()
+        if not keep_alive or unsent:
+            self.usable = False
+        # Reading may have paused; the connection must be readable when it is idle.
+        self._transport.resume_reading()
+        stream.finish()
+
     def _complete_response(self, close_delimited: bool) -> None:
+        if self._stream is not None:
+            self._end_stream()
+            return
         if self._result is None or self._result.done():
             self.usable = False
             return
--- a/src/wasabivalve/metrics/core.py
+++ b/src/wasabivalve/metrics/core.py
@@ -15,6 +15,7 @@
     ("request.caller_left", "counter", "requests cancelled with their connection"),
     ("request.pipelined", "counter", "requests read before earlier ones were answered"),
     ("request.response_waited", "counter", "responses that waited for earlier ones"),
+    ("request.response_cut", "counter", "connections reset within a response"),
     ("request.behind_close", "counter", "connections that dropped further requests"),
     ("upstream.handshake", "gauge", "connections opened to instances since the start"),
     ("upstream.over_limit", "counter", "responses that exceeded a limit"),
