--- a/src/wasabivalve/cli/explain_command.py
+++ b/src/wasabivalve/cli/explain_command.py
@@ -40,6 +40,8 @@
     "key-lost": "refused at once: its key gets no holder before its wait time ends",
     "key-moving": "refused: its key had no holder before its wait time ended",
     "over-share": "refused at once: the holder of its key gets more than it can serve",
+    "response-waits": "refused: its response had no room behind earlier ones",
+    "no-memory": "refused at once: responses that callers do not read fill the memory",
     "no-budget": "not sent again: the retry budget of the service was used up",
     "not-run-421": "the instance did not hold the key, or was another one; not run",
     "other-instance": "another instance responds at that address",
--- a/src/wasabivalve/gateway/pending_request.py
+++ b/src/wasabivalve/gateway/pending_request.py
@@ -90,11 +90,11 @@
         may_begin = self.request.may_begin
         if may_begin is None or may_begin.is_set():
             return True
-        self.steps.append("no-room")
         try:
             async with asyncio.timeout_at(deadline_at):
                 await may_begin.wait()
         except TimeoutError:
+            self.steps.append("response-waits")
             return False
         return True
 
--- a/src/wasabivalve/gateway/response_order.py
+++ b/src/wasabivalve/gateway/response_order.py
@@ -63,6 +63,7 @@
         self._may_run_twice = may_run_twice
         self._turns: deque[Turn] = deque()
         self._largest_response_bytes = 0
+        self._early_bytes = 0
 
     def __len__(self) -> int:
         """Return the number of requests without a written response."""
@@ -73,13 +74,6 @@
         """Return whether no further request should be read."""
         return len(self._turns) >= MAX_PIPELINED_REQUESTS
 
-    @property
-    def early_bytes(self) -> int:
-        """Return the bytes of the bodies that wait to be written."""
-        return sum(
-            len(turn.response.body) for turn in self._turns if turn.response is not None
-        )
-
     def add(self, request: messages.HttpRequest, held_bytes: int) -> Turn:
         """Append a request that was read completely."""
         turn = Turn(request, held_bytes)
@@ -107,7 +101,7 @@
         needs room for it.
         """
         # The next response will hardly be larger than the largest one so far.
-        expected_bytes = self.early_bytes + self._largest_response_bytes
+        expected_bytes = self._early_bytes + self._largest_response_bytes
         early_room = not memory_short and expected_bytes <= MAX_EARLY_BYTES
         for turn in self._unanswered():
             if writable and (early_room or self.is_first(turn)):
@@ -146,15 +140,18 @@
     def on_response(self, turn: Turn, response: messages.HttpResponse) -> None:
         """Record the response to a request."""
         turn.response = response
-        self._largest_response_bytes = max(
-            self._largest_response_bytes, len(response.body)
-        )
+        body_bytes = len(response.body)
+        self._early_bytes += body_bytes
+        self._largest_response_bytes = max(self._largest_response_bytes, body_bytes)
 
     def take_ready(self) -> Turn | None:
         """Remove and return the first request if its response can be written."""
         if not self._turns or self._turns[0].response is None:
             return None
-        return self._turns.popleft()
+        turn = self._turns.popleft()
+        if turn.request is not None and turn.response is not None:
+            self._early_bytes -= len(turn.response.body)
+        return turn
 
     def drop_all(self) -> list[Turn]:
         """Remove and return all requests, as the connection closes before them."""
--- a/src/wasabivalve/gateway/tests/test_pipelining.py
+++ b/src/wasabivalve/gateway/tests/test_pipelining.py
@@ -317,3 +317,21 @@
         assert max(held) <= (response_order.MAX_PIPELINED_REQUESTS + 1) * len(large)
 
     run_scenario(scenario)
+
+
+def test_request_without_room_for_its_response_is_refused_in_time():
+    """A request that waited for a slow caller was sent after its time."""
+    body = b"b" * response_order.MAX_EARLY_BYTES
+    large = OK_HEAD + b"content-length: %d\r\n\r\n" % len(body) + body
+
+    async def scenario(gateway, upstream, caller):
+        caller.send("r1", "r2")
+        upstream.respond("r2", response=large)
+        await wait_until(lambda: gateway.buffers.waiting_bytes > len(body))
+        caller.send("r3")
+        upstream.respond("r3")
+        responses = [await caller.receive() for _ in range(3)]
+        assert [status for status, _, _ in responses] == [504, 200, 503]
+        assert "r3" not in upstream.requests
+
+    run_scenario(scenario, timeout_ms=300.0)
