--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -24,6 +24,9 @@
     (202, "ERROR", "records were missed because retention removed them"),
     (203, "WARNING", "record was ignored because it could not be decoded"),
     (204, "INFO", "numbers of store calls since the previous event of this kind"),
+    (205, "WARNING", "the store names a new era; it was restored from a copy"),
+    (206, "WARNING", "a topic ends before the position of this VM; it is listed again"),
+    (207, "INFO", "the store names its era"),
     # Ownership, 300 to 399.
     (300, "INFO", "this VM gained authority over a shard"),
     (301, "WARNING", "this VM lost authority over a shard"),
@@ -31,6 +34,8 @@
     (303, "WARNING", "upstream instance is suspected to have failed"),
     (304, "INFO", "this VM claimed a controller term"),
     (305, "INFO", "previous key controller stopped granting leases"),
+    (306, "WARNING", "grants wait, as the store may have lost who holds the keys"),
+    (307, "INFO", "grants wait no longer; holders of keys are certain again"),
     (310, "INFO", "this VM was elected key controller"),
     (311, "WARNING", "this VM stepped down as key controller"),
     (312, "INFO", "claim of a controller term was not confirmed"),
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -17,6 +17,7 @@
     admission_shares,
     assignment_log,
     core,
+    held_grants,
     leases,
     moves,
     planning,
@@ -69,7 +70,11 @@
         self._is_elected = False
         self._confirmed_at_ms = 0.0
         self._writer = assignment_log.AssignmentLogWriter(
-            vm, calls, dependencies.on_assignment_map
+            vm,
+            calls,
+            dependencies.on_assignment_map,
+            dependencies.known_map,
+            dependencies.known_vms,
         )
         self._table = leases.LeaseTable()
         self._moves = moves.RangeMoves(
@@ -90,6 +95,9 @@
         self._balanced_at_ms = 0.0
         self._claimed_at_ms = 0.0
         self._predecessor_leases = succession.PredecessorLeases()
+        self._held_grants = held_grants.HeldGrants()
+        self._era_noticed_at_ms = -math.inf
+        self._claim_again_due_ms = 0.0
         self._ended_leases: list[leases.RangeLease] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._pending_calls: set[asyncio.Task[None]] = set()
@@ -150,6 +158,18 @@
         self._is_active = False
         self._writer.term = None
         self._table.leases = []
+        self._held_grants.stop()
+
+    def on_new_era(self) -> None:
+        """Record that the store was restored from a copy and may lack this term.
+
+        The holders are asked at once whether they still accept it.
+        """
+        now_ms = self._calls.now_ms()
+        self._era_noticed_at_ms = now_ms
+        self._claim_again_due_ms = now_ms
+        for lease in self._table.leases:
+            lease.renewal_due_ms = 0.0
 
     def on_recorded_map(self, assignment_map: core.AssignmentMap) -> None:
         """Handle a map read from the assignment log; step down if its term is later."""
@@ -188,8 +208,11 @@
             self._calls.now_ms(),
             self._max_grant_lifetime_ms(),
         )
-        if predecessors:
+        if predecessors - {core.UNKNOWN_VM}:
             return
+        self._held_grants.on_all_yielded(
+            self._calls.now_ms() + self._max_grant_lifetime_ms()
+        )
         for lease in self._table.leases:
             if not lease.confirmed:
                 expiry_ms = self._predecessor_leases.expiry_ms(lease.range.instance)
@@ -217,8 +240,42 @@
     # Terms and the assignment log.
 
     async def _claim_term(self) -> None:
-        if not await self._writer.claim_term(lambda: self._is_active):
+        if self._calls.now_ms() < (
+            self._era_noticed_at_ms + held_grants.CONTINUATION_WAIT_MS
+        ):
+            return
+        if await self._writer.claim_term(lambda: self._is_active):
+            self._start_term([])
+
+    async def _claim_again(self) -> None:
+        """Claim a later term in the store's new era, in place of the lost one."""
+        now_ms = self._calls.now_ms()
+        proven_leases = [
+            lease
+            for lease in self._table.leases
+            if held_grants.is_proven(
+                lease, self._era_noticed_at_ms, self._lease_duration_ms
+            )
+        ]
+        are_proven = len(proven_leases) == len(self._table.leases)
+        proof_due_ms = self._era_noticed_at_ms + held_grants.PROOF_TIMEOUT_MS
+        if now_ms < self._claim_again_due_ms or (
+            not are_proven and now_ms < proof_due_ms
+        ):
             return
+        self._claim_again_due_ms = now_ms + held_grants.CLAIM_RETRY_MS
+        result = await self._writer.claim_again(are_proven, self._has_authority)
+        if result == "superseded":
+            self.step_down("another controller claimed a later term")
+        elif result == "written":
+            self._start_term(proven_leases)
+
+    def _start_term(self, proven_leases: list[leases.RangeLease]) -> None:
+        """Start the leases of a claimed term.
+
+        While the holders of keys are not known for certain, only those are granted that
+        accepted the earlier term of this VM.
+        """
         now_ms = self._calls.now_ms()
         self._claimed_at_ms = now_ms
         self._predecessor_leases.start_term()
@@ -232,6 +289,29 @@
             for assignment in ranges
         ]
         events.emit(304, term=self._term, ranges=len(self._table.leases))
+        self._held_grants.stop()
+        if self._writer.holders_are_known:
+            return
+        for lease in self._table.leases:
+            lease.held = not held_grants.is_range_proven(lease, proven_leases)
+        self._held_grants.start(
+            now_ms + self._max_grant_lifetime_ms() + leases.AUTHORITY_TIMEOUT_MS
+        )
+        if self._writer.predecessors == {core.UNKNOWN_VM}:
+            self._held_grants.on_all_yielded(now_ms + self._max_grant_lifetime_ms())
+        held_count = sum(lease.held for lease in self._table.leases)
+        events.emit(306, term=self._term, held=held_count)
+
+    async def _end_held_grants(self) -> None:
+        """Grant what was held, and record that the holders are known again."""
+        self._held_grants.stop()
+        self._writer.predecessors.discard(core.UNKNOWN_VM)
+        for lease in self._table.leases:
+            if lease.held:
+                lease.held, lease.granted_expiry_ms = False, self._calls.now_ms()
+        events.emit(307, term=self._term)
+        await self._renew_leases()
+        await self._write_ranges({}, leases.CALL_TIMEOUT_MS)
 
     async def _write_ranges(
         self,
@@ -258,7 +338,7 @@
             return
         now_ms = self._calls.now_ms()
         for lease in self._table.leases:
-            if lease.renewals_stopped or now_ms < lease.renewal_due_ms:
+            if lease.renewals_stopped or lease.held or now_ms < lease.renewal_due_ms:
                 continue
             instance = self._dependencies.find_instance(lease.range.instance)
             if instance is None or instance.born != lease.range.born:
@@ -366,6 +446,11 @@
             return
         if not self._has_authority():
             return
+        if not self._writer.is_current:
+            await self._claim_again()
+            return
+        if self._held_grants.is_over(self._calls.now_ms()):
+            await self._end_held_grants()
         self._request_yields(self._term)
         self._track_instances()
         self._probe_lost_instances()
@@ -386,7 +471,7 @@
         if self._calls.now_ms() >= self._claimed_at_ms + leases.AUTHORITY_TIMEOUT_MS:
             # The registry has not confirmed any predecessor since the claim, so the
             # authority of all of them has expired.
-            self._writer.predecessors.clear()
+            self._writer.predecessors &= {core.UNKNOWN_VM}
         for vm in self._writer.predecessors:
             self._dependencies.request_yield(vm, term)
 
@@ -457,6 +542,7 @@
         candidates = self._list_candidates(service)
         if (
             not candidates
+            or self._held_grants.is_ongoing
             or self._calls.now_ms()
             < self._instances_stable_since_ms
             + planning.first_plan_delay_ms(len(candidates))
@@ -478,7 +564,7 @@
         releases = []
         for lease in self._table.of_service(service):
             instance = self._dependencies.find_instance(lease.range.instance)
-            if lease.reassignable:
+            if lease.reassignable or lease.held:
                 continue
             if lease.renewals_stopped:
                 lease.reassignable = now_ms >= lease.latest_expiry_ms
--- a/src/wasabivalve/key_leases/core.py
+++ b/src/wasabivalve/key_leases/core.py
@@ -13,6 +13,20 @@
 """Low bits of a fencing token, which number the grants of one term."""
 
 
+OFFSET_BITS = 26
+"""Low bits of a term, for the offset of its claim; the higher ones hold the era.
+
+67 million records are years of moves. Tokens of up to 127 eras stay below 2**53, the
+largest integer that all readers of JSON agree on.
+"""
+
+UNKNOWN_VM = "*"
+"""Predecessor that stands for controllers whose claims the store has lost.
+
+Holders of keys are not known for certain while a map names it.
+"""
+
+
 class RangeAssignment(NamedTuple):
     """Assign a range of keys, ``first`` and ``last`` included, to an instance.
 
@@ -28,10 +42,10 @@
 class AssignmentMap(NamedTuple):
     """Hold all assigned ranges, the term and the controller that wrote them.
 
-    ``term`` is the offset of the term's claim in the assignment log, so it only rises.
-    ``writer_id`` is unique to one incarnation of a controller, and ``write_number``
-    counts its writes. ``predecessors`` are the VMs that may still grant in earlier
-    terms.
+    ``term`` is the era of the store and the offset of the term's claim in the
+    assignment log, so it only rises. ``writer_id`` is unique to one incarnation of a
+    controller, and ``write_number`` counts its writes. ``predecessors`` are the VMs
+    that may still grant in earlier terms.
     """
 
     term: int
@@ -41,6 +55,11 @@
     ranges_by_service: Mapping[str, tuple[RangeAssignment, ...]]
     predecessors: tuple[str, ...] = ()
 
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return the term and the write number, which order all maps."""
+        return self.term, self.write_number
+
     def find_range(self, service: str, key: int) -> RangeAssignment | None:
         """Return the assigned range that contains a key, or None without one."""
         ranges = self.ranges_by_service.get(service, ())
@@ -66,6 +85,11 @@
     return msgspec.msgpack.decode(data, type=AssignmentMap)
 
 
+def first_term(era: int) -> int:
+    """Return the term of a claim at offset 0, above all terms of earlier eras."""
+    return era << OFFSET_BITS
+
+
 def fencing_token(term: int, grant_number: int) -> int:
     """Return the fencing token of a grant; later terms have higher tokens."""
     return (term << GRANT_NUMBER_BITS) | grant_number
--- a/src/wasabivalve/key_leases/leases.py
+++ b/src/wasabivalve/key_leases/leases.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Literal, NamedTuple
 
 from wasabivalve.placement import core as placement
@@ -66,22 +66,29 @@
 
 
 class AssignmentLogTail(NamedTuple):
-    """Hold the newest map in the assignment log and the offset of the next record."""
+    """Hold the newest map in the assignment log and the offset of the next record.
+
+    ``era`` is that of the store that answered.
+    """
 
     assignment_map: core.AssignmentMap
     end_offset: int
+    era: int = 0
 
 
 class RemoteCalls(NamedTuple):
     """Hold the clock of a controller and its calls to the store and to instances.
 
     Times are in ms, but lease durations in s; ``now_ms`` also counts time for which
-    the machine was suspended.
+    the machine was suspended. An append names the offset and the era of the store at
+    which it is valid; ``store_era`` returns the newest era that this VM has seen.
     """
 
     now_ms: Callable[[], float]
     read_log_tail: Callable[[], Awaitable[AssignmentLogTail | None]]
-    append_assignment_map: Callable[[core.AssignmentMap, int], Awaitable[AppendResult]]
+    append_assignment_map: Callable[
+        [core.AssignmentMap, int, int], Awaitable[AppendResult]
+    ]
     grant: Callable[
         [placement.RegisteredInstance, int, int, int, float, str | None, float],
         Awaitable[GrantResult],
@@ -90,22 +97,29 @@
         [placement.RegisteredInstance, int, int, int, float],
         Awaitable[ReleaseResult | None],
     ]
+    store_era: Callable[[], int] = lambda: 0
 
 
 class ControllerDependencies(NamedTuple):
-    """Hold the queries and notifications by which a controller uses other parts."""
+    """Hold the queries and notifications by which a controller uses other parts.
+
+    ``known_map`` returns the newest map that this VM has seen, ``known_vms`` the names
+    of all VMs that may have been controller.
+    """
 
     partitioned_services: Callable[[], Sequence[str]]
     find_instance: Callable[[str], placement.RegisteredInstance | None]
     list_instances: Callable[[str], Sequence[placement.RegisteredInstance]]
     capacity_per_s: Callable[[placement.RegisteredInstance], float]
     service_loads: Callable[[str], key_loads.ServiceLoads]
-    on_assignment_map: Callable[[core.AssignmentMap], None]
+    on_assignment_map: Callable[[core.AssignmentMap], object]
     on_ranges_moving: Callable[[list[view.MovingRange], float], None]
     on_ranges_confirmed: Callable[[int, int, str, list[core.RangeAssignment]], None]
     on_admission_shares: Callable[[dict[str, float], dict[str, dict[int, float]]], None]
     request_yield: Callable[[str, int], None]
     is_warming: Callable[[placement.RegisteredInstance], bool] = lambda instance: False
+    known_map: Callable[[], core.AssignmentMap] = lambda: core.EMPTY_MAP
+    known_vms: Callable[[], Iterable[str]] = lambda: ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,8 +130,9 @@
     ``unanswered_expiry_ms`` the unanswered ones. Until ``earliest_expiry_ms`` the
     holder certainly has the lease. While ``renewals_stopped`` no renewal is sent;
     each attempt of a release may still send one fencing grant. A ``reassignable`` range
-    has no holder any more. If the range was announced to VMs as moving, its next
-    confirmed grant is announced too.
+    has no holder any more. A ``held`` one is not granted, as the store may have lost
+    that another instance holds it. If the range was announced to VMs as moving, its
+    next confirmed grant is announced too.
     """
 
     service: str
@@ -133,6 +148,7 @@
     announced_moving: bool = False
     renewals_stopped: bool = False
     reassignable: bool = False
+    held: bool = False
     handover: str | None = None
     last_known_instance: placement.RegisteredInstance | None = None
     pending_grants: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
--- a/src/wasabivalve/key_leases/tests/lease_simulation.py
+++ b/src/wasabivalve/key_leases/tests/lease_simulation.py
@@ -98,6 +98,10 @@
         self.store_only_refuses = False
         self.delayed_appends = 0
         self.assignment_log = []
+        self.claimed_terms = []
+        self.era = 0
+        self.known_map_by_vm = {}
+        self.era_by_vm = {}
         self.instance_by_name = {}
         self.registered_by_name = {}
         self.overlaps = []
@@ -136,6 +140,22 @@
             if low <= high and first != second:
                 self.overlaps.append((self.now_s(), first, second, low))
 
+    def rewind(self, end_offset, told_vms=None):
+        """Restore the store from a copy that ends at an offset.
+
+        ``told_vms`` notice it at once, all by default.
+        """
+        del self.assignment_log[end_offset:]
+        self.era += 1
+        for vm in self.controller_by_vm if told_vms is None else told_vms:
+            self.notice_era(vm)
+
+    def notice_era(self, vm):
+        """Let a VM notice the era of the store."""
+        if self.era_by_vm.get(vm, 0) < self.era:
+            self.era_by_vm[vm] = self.era
+            self.controller_by_vm[vm].on_new_era()
+
     def find_holder(self, key):
         """Return the instance that holds a key now, or None."""
         for instance in self.instance_by_name.values():
@@ -156,10 +176,13 @@
         """Return a new controller on the named VM."""
         calls = leases.RemoteCalls(
             lambda: 1000.0 * self.now_s(),
-            self._read_log_tail,
-            self._append_assignment_map,
+            lambda: self._read_log_tail(vm),
+            lambda assignment_map, offset, era: self._append_assignment_map(
+                vm, assignment_map, offset, era
+            ),
             self._grant,
             self._release,
+            lambda: self.era_by_vm.get(vm, 0),
         )
         dependencies = leases.ControllerDependencies(
             lambda: [SERVICE],
@@ -167,7 +190,7 @@
             lambda service: list(self.registered_by_name.values()),
             lambda instance: 40.0,
             lambda service: self.loads.service_loads(service, 1000.0 * self.now_s()),
-            lambda assignment_map: None,
+            lambda assignment_map: self._on_known_map(vm, assignment_map),
             self._on_ranges_moving,
             lambda term, write_number, service, ranges: self.confirmed_ranges.append(
                 ranges
@@ -176,12 +199,23 @@
                 {**by_instance, **by_key}
             ),
             lambda predecessor, term: self._request_yield(vm, predecessor, term),
+            known_map=lambda: self.known_map_by_vm.get(vm, core.EMPTY_MAP),
+            known_vms=lambda: self.controller_by_vm,
         )
+        # What an earlier incarnation of the VM knew is lost with it.
+        self.known_map_by_vm.pop(vm, None)
+        self.era_by_vm[vm] = self.era
         self.controller_by_vm[vm] = controller.KeyLeaseController(
             vm, 10_000.0, calls, dependencies
         )
         return self.controller_by_vm[vm]
 
+    def _on_known_map(self, vm, assignment_map):
+        """Record a map that a VM has read or written."""
+        known = self.known_map_by_vm.get(vm, core.EMPTY_MAP)
+        if assignment_map.version >= known.version:
+            self.known_map_by_vm[vm] = assignment_map
+
     def _request_yield(self, vm, predecessor_vm, term):
         """Deliver a request to yield and its reply, each of which may be lost."""
         loop = asyncio.get_running_loop()
@@ -227,14 +261,15 @@
             await asyncio.sleep(0.5)
             self.check_holders()
 
-    async def _read_log_tail(self):
+    async def _read_log_tail(self, vm):
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
         if not self.store_available:
             return None
+        self.notice_era(vm)
         newest = self.assignment_log[-1] if self.assignment_log else core.EMPTY_MAP
-        return leases.AssignmentLogTail(newest, len(self.assignment_log))
+        return leases.AssignmentLogTail(newest, len(self.assignment_log), self.era)
 
-    async def _append_assignment_map(self, assignment_map, offset):
+    async def _append_assignment_map(self, vm, assignment_map, offset, era):
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
         if not self.store_available:
             if self.store_only_refuses:
@@ -247,15 +282,18 @@
                 self.random.uniform(1.0, 6.0), self._append_at, assignment_map, offset
             )
             return "unknown"
-        done = self._append_at(assignment_map, offset)
+        done, done_in_era = self._append_at(assignment_map, offset), self.era
         # The reply may take longer than the append.
         await asyncio.sleep(self.append_reply_delay_s)
-        return "done" if done else "moved"
+        self.notice_era(vm)
+        return "done" if done and era == done_in_era == self.era else "moved"
 
     def _append_at(self, assignment_map, offset):
         if offset != len(self.assignment_log):
             return False
         self.assignment_log.append(assignment_map)
+        if assignment_map.write_number == 0:
+            self.claimed_terms.append(assignment_map.term)
         return True
 
     async def _grant(
--- /dev/null
+++ b/src/wasabivalve/key_leases/tests/test_store_era.py
@@ -0,0 +1,260 @@
+"""Test that keys keep one holder when the store is restored from an older copy."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from wasabivalve.key_leases import core
+from wasabivalve.key_leases.tests import lease_simulation
+
+
+def highest_token(simulation):
+    return max(
+        token
+        for instance in simulation.instance_by_name.values()
+        for _, _, token in instance.seen_tokens
+    )
+
+
+async def move_some_keys(simulation, leader, keys=range(0, 20_000, 7)):
+    """Have the controller write moves to the log, and return where it ended before."""
+    end_offset = len(simulation.assignment_log)
+    for _ in range(40):
+        for key in keys:
+            simulation.loads.count_request(
+                lease_simulation.SERVICE, key, 1000.0 * simulation.now_s()
+            )
+        await simulation.keep_elected(leader, 0.5)
+        if len(simulation.assignment_log) > end_offset + 1:
+            return end_offset
+    raise AssertionError("no keys were moved")
+
+
+def test_numbers_stay_the_same_without_an_era():
+    """Deployments whose store names no era must keep the terms that they have."""
+
+    async def scenario(simulation):
+        leader = simulation.new_controller("a")
+        leader.start()
+        await simulation.keep_elected(leader, 2.0)
+        assert [each.term for each in simulation.assignment_log] == [0, 0]
+        assert highest_token(simulation) < 1 << core.GRANT_NUMBER_BITS
+
+    lease_simulation.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("loses_first_claim", [False, True])
+def test_controller_goes_on_in_a_new_era(loses_first_claim):
+    """A controller that knows all moves must not leave keys without a holder."""
+
+    async def scenario(simulation):
+        leader = simulation.new_controller("a")
+        leader.start()
+        await simulation.keep_elected(leader, 3.0)
+        lost_from = await move_some_keys(simulation, leader)
+        before = highest_token(simulation)
+        newest = simulation.assignment_log[-1].ranges_by_service
+        simulation.rewind(0 if loses_first_claim else lost_from)
+        for _ in range(16):
+            await simulation.keep_elected(leader, 0.5)
+            assert simulation.count_unheld_keys() == 0
+        claim = next(each for each in simulation.assignment_log if each.term > 0)
+        assert claim.ranges_by_service == newest
+        assert claim.term >= core.first_term(1)
+        assert core.UNKNOWN_VM not in claim.predecessors
+        assert highest_token(simulation) > before
+
+    lease_simulation.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("knows_lost_map", [False, True])
+def test_another_controller_waits_for_leases_of_the_lost_part(knows_lost_map):
+    """The restored log names holders that have released their keys since."""
+
+    async def scenario(simulation):
+        first = simulation.new_controller("a")
+        second = simulation.new_controller("b")
+        first.start()
+        second.start()
+        await simulation.keep_elected(first, 3.0)
+        lost_from = await move_some_keys(simulation, first)
+        newest = simulation.assignment_log[-1]
+        if knows_lost_map:
+            simulation.known_map_by_vm["b"] = newest
+        first.close()
+        del simulation.controller_by_vm["a"]
+        simulation.rewind(lost_from)
+        await simulation.keep_elected(second, 22.0)
+        assert simulation.count_unheld_keys() == 0
+        recorded = simulation.assignment_log[-1]
+        assert core.UNKNOWN_VM not in recorded.predecessors
+        same_holders = recorded.ranges_by_service == newest.ranges_by_service
+        assert same_holders == knows_lost_map
+
+    lease_simulation.run_scenario(scenario)
+
+
+def test_successor_of_a_waiting_controller_waits_as_well():
+    """A claim in the new era does not make the holders certain."""
+
+    async def scenario(simulation):
+        first = simulation.new_controller("a")
+        first.start()
+        await simulation.keep_elected(first, 3.0)
+        lost_from = await move_some_keys(simulation, first)
+        first.close()
+        # The VM starts again, and yields.
+        simulation.new_controller("a")
+        simulation.rewind(lost_from)
+        second = simulation.new_controller("b")
+        second.start()
+        await simulation.keep_elected(second, 0.5)
+        assert core.UNKNOWN_VM in simulation.assignment_log[-1].predecessors
+        second.close()
+        third = simulation.new_controller("c")
+        third.start()
+        await simulation.keep_elected(third, 8.0)
+        assert simulation.count_unheld_keys() == 0
+
+    lease_simulation.run_scenario(scenario)
+
+
+def test_two_controllers_on_both_sides_of_a_rewind():
+    """A controller that is cut off from the store renews in the older era."""
+
+    async def scenario(simulation):
+        first = simulation.new_controller("a")
+        second = simulation.new_controller("b")
+        first.start()
+        second.start()
+        await simulation.keep_elected(first, 3.0)
+        lost_from = await move_some_keys(simulation, first)
+        simulation.unreachable_vms.add("a")
+        simulation.rewind(lost_from, told_vms=["b"])
+        before = highest_token(simulation)
+        await simulation.keep_elected(second, 22.0)
+        assert not first.is_controller and second.is_controller
+        assert simulation.count_unheld_keys() == 0
+        assert highest_token(simulation) > before
+
+    lease_simulation.run_scenario(scenario)
+
+
+def test_refused_token_leads_to_a_claim_with_a_higher_one():
+    """The store may have lost the claim that refused tokens belong to."""
+
+    async def scenario(simulation):
+        first = simulation.new_controller("a")
+        second = simulation.new_controller("b")
+        first.start()
+        second.start()
+        await simulation.keep_elected(first, 3.0)
+        first.on_other_elected()
+        await simulation.keep_elected(second, 0.4)
+        lost_claims = [each for each in simulation.assignment_log if each.term > 0]
+        assert lost_claims
+        second.close()
+        del simulation.controller_by_vm["b"]
+        simulation.rewind(2)
+        await simulation.keep_elected(first, 12.0)
+        assert first.is_controller and simulation.count_unheld_keys() == 0
+        assert simulation.assignment_log[-1].term >= core.first_term(1)
+
+    lease_simulation.run_scenario(scenario)
+
+
+def test_suspended_controller_proves_holders_before_it_goes_on():
+    """The store may have lost that another VM moved keys during the suspension."""
+
+    async def scenario(simulation):
+        first = simulation.new_controller("a")
+        second = simulation.new_controller("b")
+        first.start()
+        second.start()
+        await simulation.keep_elected(first, 3.0)
+        first.close()
+        simulation.unreachable_vms.add("a")
+        lost_from = len(simulation.assignment_log)
+        await simulation.keep_elected(second, 2.0)
+        await move_some_keys(simulation, second)
+        second.close()
+        del simulation.controller_by_vm["b"]
+        simulation.rewind(lost_from)
+        # No holder answers before the claim could be made.
+        for instance in simulation.instance_by_name.values():
+            instance.reachable = False
+        first.start()
+        await simulation.keep_elected(first, 0.5)
+        for instance in simulation.instance_by_name.values():
+            instance.reachable = True
+        await simulation.keep_elected(first, 12.0)
+        assert first.is_controller and simulation.count_unheld_keys() == 0
+
+    lease_simulation.run_scenario(scenario)
+
+
+def test_late_record_of_an_older_era_is_not_taken_for_a_claim():
+    """An append that was under way reaches the offset that it names once more."""
+
+    async def scenario(simulation):
+        leader = simulation.new_controller("a")
+        leader.start()
+        await simulation.keep_elected(leader, 3.0)
+        await move_some_keys(simulation, leader)
+        late_map = simulation.assignment_log[1]
+        simulation.rewind(2)
+        await simulation.keep_elected(leader, 2.0)
+        term = simulation.assignment_log[-1].term
+        simulation.assignment_log.append(late_map)
+        await move_some_keys(simulation, leader, range(40_000, 60_000, 7))
+        assert simulation.assignment_log[-1].term == term
+
+    lease_simulation.run_scenario(scenario)
+
+
+@hypothesis.given(
+    seed=strategies.integers(0, 10_000),
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(("a", "b")),
+            strategies.sampled_from(
+                ("keep", "rewind", "restart", "rewind and restart")
+            ),
+            strategies.sampled_from((0.2, 1.0, 3.0, 6.0)),
+            strategies.integers(0, 6),
+        ),
+        min_size=2,
+        max_size=8,
+    ),
+)
+@hypothesis.settings(max_examples=150, deadline=None)
+def test_no_key_has_two_holders_over_rewinds_and_changes_of_controllers(seed, steps):
+    """Any order of elections, restarts and rewinds must keep one holder."""
+
+    async def scenario(simulation):
+        simulation.loss_probability = 0.05
+        for vm in ("a", "b"):
+            simulation.new_controller(vm).start()
+        for number, step in enumerate(steps):
+            elected, fault, duration_s, lost_count = step
+            if "rewind" in fault:
+                end = max(0, len(simulation.assignment_log) - lost_count)
+                simulation.rewind(end)
+            if "restart" in fault:
+                for vm in ("a", "b") if "rewind" in fault else (elected,):
+                    simulation.controller_by_vm[vm].close()
+                    simulation.new_controller(vm).start()
+            first_key = 20_000 * (number % 3)
+            for key in range(first_key, first_key + 20_000, 7):
+                simulation.loads.count_request(
+                    lease_simulation.SERVICE, key, 1000.0 * simulation.now_s()
+                )
+            leader = simulation.controller_by_vm[elected]
+            await simulation.keep_elected(leader, duration_s)
+            for vm, each in simulation.controller_by_vm.items():
+                if vm != elected:
+                    each.on_other_elected()
+        claimed_terms = simulation.claimed_terms
+        assert claimed_terms == sorted(set(claimed_terms))
+
+    lease_simulation.run_scenario(scenario, seed=seed)
--- a/src/wasabivalve/keyed_log/core.py
+++ b/src/wasabivalve/keyed_log/core.py
@@ -16,6 +16,12 @@
 Relays arrive every 0.6 s, and a call takes up to 0.1 s.
 """
 
+RESTART_SPREAD_S = 0.3
+"""Time over which VMs that notice a restored store spread their listings.
+
+A few of them read it from the store before the others fetch copies.
+"""
+
 READ_AFTER_RELAYS_S = 1.6
 """Time for reading the store once relays have ended.
 
@@ -23,6 +29,10 @@
 """
 
 
+ONLY_FROM_STORE = -1
+"""Offset for a listing that no other VM may provide, as copies may be ahead as well."""
+
+
 class FollowTimes(NamedTuple):
     """Hold the times in s of following a topic.
 
@@ -72,9 +82,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Trimmed:
-    """State that the requested records are deleted.
+    """State that the store does not have the requested offset.
 
-    ``first_offset`` is that of the oldest remaining record, -1 if unknown.
+    ``first_offset`` is that of the oldest remaining record, -1 if unknown. If it is not
+    after the requested offset, the topic ends before that.
     """
 
     first_offset: int
@@ -91,8 +102,9 @@
 class TopicSource(NamedTuple):
     """Hold the calls of a follower to the store.
 
-    ``list_newest`` gets the offset before which the listing must cover all records;
-    ``read`` gets the first offset to read and the long-poll time in s.
+    ``list_newest`` gets the offset before which the listing must cover all records, or
+    ``ONLY_FROM_STORE``; ``read`` gets the first offset to read and the long-poll time
+    in s.
     """
 
     list_newest: Callable[[int], Awaitable[Listing | Unavailable]]
@@ -137,6 +149,7 @@
         self._next_offset: int | None = None
         # A listing must cover all records before this offset.
         self._known_end_offset = 0
+        self._is_restarted = False
         self._failures = 0
         self._relay_valid_until = 0.0
         self._has_gap = False
@@ -151,7 +164,7 @@
     async def run(self) -> None:
         """Follow until cancelled; while other VMs relay the topic, read only gaps."""
         while True:
-            is_first_listing = self._next_offset is None and self._known_end_offset == 0
+            is_first_listing = self._next_offset is None and self._is_first_listing
             await self._wait(await self.poll())
             if is_first_listing and self._next_offset is not None:
                 # VMs that relay read first; their relays may make this read needless.
@@ -227,6 +240,29 @@
             )
             self._wake.set()
 
+    def start_anew(self) -> None:
+        """List the topic again, as the store was restored from a copy.
+
+        What was delivered before stays with the handlers.
+        """
+        if self._next_offset is None and self._is_first_listing:
+            return
+        self._restart(0)
+        self._has_gap = True
+        self._gap_read_at = self._clock() + self._generator.uniform(
+            0.0, RESTART_SPREAD_S
+        )
+        self._wake.set()
+
+    def _restart(self, known_end_offset: int) -> None:
+        self._next_offset = None
+        self._known_end_offset = known_end_offset
+        self._is_restarted = True
+
+    @property
+    def _is_first_listing(self) -> bool:
+        return self._known_end_offset == 0 and not self._is_restarted
+
     async def poll(self) -> float:
         """Make one call and return the delay in s before the next.
 
@@ -241,8 +277,10 @@
         if isinstance(result, Unavailable):
             return self._on_failure(result.reason)
         self._on_success()
-        is_first_listing = self._known_end_offset == 0
+        is_first_listing = self._is_first_listing
         self._next_offset = result.end_offset
+        if self._is_restarted:
+            self._is_restarted = self._has_gap = False
         self._handlers.on_listing(result.records)
         return self._times.first_relay_timeout_s if is_first_listing else 0.0
 
@@ -252,6 +290,13 @@
         if isinstance(result, Unavailable):
             return self._on_failure(result.reason)
         self._on_success()
+        if self._next_offset is None:
+            # The store was restored during the read.
+            return 0.0
+        if _is_ahead_of_end(result, offset):
+            events.emit(206, topic=self.name, offset=offset)
+            self._restart(ONLY_FROM_STORE)
+            return 0.0
         if isinstance(result, Trimmed):
             events.emit(202, topic=self.name, offset=offset, first=result.first_offset)
             # A copy that ends before the oldest remaining record has the same gap.
@@ -285,3 +330,10 @@
         self._outage.on_unreachable()
         self._handlers.on_unreachable(reason)
         return 0.0
+
+
+def _is_ahead_of_end(result: Batch | Trimmed, offset: int) -> bool:
+    """Return whether a topic ends before an offset that was read from it."""
+    if isinstance(result, Trimmed):
+        return 0 <= result.first_offset <= offset
+    return result.end_offset < offset
--- a/src/wasabivalve/metrics/core.py
+++ b/src/wasabivalve/metrics/core.py
@@ -26,6 +26,7 @@
     ("buffer.evicted", "gauge", "messages given up for lack of buffers since start"),
     ("buffer.unread_evicted", "gauge", "unread responses given up for lack of buffers"),
     ("store.call", "gauge", "calls to the platform's store since the start"),
+    ("store.era", "gauge", "newest era of the store that this VM has seen"),
     ("instance.listed", "gauge", "registered instances"),
     ("instance.cold", "gauge", "instances that this VM knows to be cold"),
     (
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -6,8 +6,6 @@
 import random
 from collections.abc import Callable, Sequence
 
-import msgspec
-
 from wasabivalve import events, shared_facts
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.gateway import core as gateway
@@ -15,13 +13,14 @@
 from wasabivalve.key_leases import controller, key_loads, leases, view
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.keyed_log import core as keyed_log
-from wasabivalve.keyed_log import outage
+from wasabivalve.keyed_log import outage, store_era
 from wasabivalve.placement import core as placement
 from wasabivalve.placement import directory, service_times
 from wasabivalve.slot_dispatch import node as dispatch_node
 from wasabivalve.vm_link import copies, exchange, vm_directory
 
 from . import (
+    assignment_log,
     clocks,
     facts,
     grants,
@@ -38,8 +37,7 @@
 
 DESIRED_STATE_TOPIC = operator_records.TOPIC
 INSTANCES_TOPIC = "keyed.servers"
-ASSIGNMENT_LOG_TOPIC = "keyed.wasabivalve.keys"
-ASSIGNMENT_MAP_KEY = "map"
+ASSIGNMENT_LOG_TOPIC = assignment_log.ASSIGNMENT_LOG_TOPIC
 COPIED_TOPICS = (DESIRED_STATE_TOPIC, ASSIGNMENT_LOG_TOPIC)
 """Topics of one document, which most VMs fetch from another one."""
 
@@ -128,7 +126,10 @@
         self._settings = vm_settings
         self._loop = asyncio.get_running_loop()
         self._generator = random.Random()
-        self._store_client = store.StoreClient(vm_settings.store_address)
+        self._store_era = store_era.StoreEra()
+        self._store_client = store.StoreClient(
+            vm_settings.store_address, self._store_era
+        )
         self._grant_client = grants.GrantClient(self._health_path)
         self._relay_validity_s = keyed_log.relay_validity_s(
             vm_settings.max_staleness_ms / SECOND_MS
@@ -160,6 +161,10 @@
                 else known_vms.copy_source_addresses()
             ),
             lambda topic: self._exchange.follower_by_topic[topic].next_offset or 0,
+            self._store_era,
+        )
+        self._assignment_log = assignment_log.AssignmentLog(
+            self._store_client, self._copies, self._on_recorded_map
         )
         self._exchange = exchange.MessageExchange(
             vm_settings.vm,
@@ -189,6 +194,7 @@
                 ),
             ),
             self._relay_validity_s,
+            self._store_era,
         )
         self._fact_sharing = facts.FactSharing(
             self._store_client,
@@ -275,10 +281,11 @@
             vm_settings.max_lease_ms,
             leases.RemoteCalls(
                 clocks.boottime_ms,
-                self._read_log_tail,
-                self._append_assignment_map,
+                self._assignment_log.read_tail,
+                self._assignment_log.append,
                 self._grant_client.grant,
                 self._grant_client.release,
+                lambda: self._store_era.newest,
             ),
             leases.ControllerDependencies(
                 self._partitioned_services,
@@ -292,6 +299,8 @@
                 self._exchange.broadcast_admission_shares,
                 self._exchange.send_yield_request,
                 self._dispatch_node.is_warming,
+                lambda: self._key_view.assignment_map,
+                lambda: known_vms.registration_by_vm,
             ),
         )
         self._group_member = membership.ControllerGroupMember(
@@ -345,7 +354,7 @@
         followers = (
             self._create_follower(
                 DESIRED_STATE_TOPIC,
-                self._operator_records.on_listing,
+                self._on_desired_state_listing,
                 self._operator_records.on_record,
                 keyed_log.FollowTimes(0.0, DESIRED_STATE_LONG_POLL_S),
             ),
@@ -359,8 +368,8 @@
             ),
             self._create_follower(
                 ASSIGNMENT_LOG_TOPIC,
-                self._on_assignment_log_listing,
-                self._on_assignment_record,
+                self._assignment_log.on_listing,
+                self._assignment_log.on_record,
                 keyed_log.FollowTimes(
                     0.0, ASSIGNMENT_LOG_LONG_POLL_S, ASSIGNMENT_LOG_GAP_DELAY_S
                 ),
@@ -381,6 +390,7 @@
         self._exchange.follower_by_topic = {
             follower.name: follower for follower in followers
         }
+        self._store_era.add_listener(self._on_store_restored)
         self._tasks = [self._loop.create_task(follower.run()) for follower in followers]
         self._tasks.append(self._loop.create_task(self._group_member.run()))
         self._tasks.append(self._loop.create_task(self._tick()))
@@ -397,7 +407,7 @@
         self._gateway.metrics.gauge("instance.evacuated_data_centres", len(evacuated))
         return metrics_page.render(
             self._gateway,
-            self._store_client.call_count,
+            self._store_client,
             len(self._instance_directory.instance_by_id),
             self._paced_limits,
             self._now_ms(),
@@ -467,7 +477,7 @@
         async def list_newest(
             known_end_offset: int,
         ) -> keyed_log.Listing | keyed_log.Unavailable:
-            if is_copied:
+            if is_copied and known_end_offset != keyed_log.ONLY_FROM_STORE:
                 await self._wait_for_vm_list()
                 copied_listing = await self._copies.fetch_listing(
                     topic, known_end_offset
@@ -553,6 +563,10 @@
     def _desired_state(self) -> desired_state.DesiredState | None:
         return self._operator_records.desired_state
 
+    def _on_desired_state_listing(self, records: Sequence[keyed_log.Record]) -> None:
+        self._operator_records.on_listing(records)
+        self._copies.retain(DESIRED_STATE_TOPIC, operator_records.DESIRED_STATE_KEY)
+
     def _on_desired_state(self, state: desired_state.DesiredState) -> None:
         self._instance_views.set_desired_state(state)
         self._gateway.set_desired_state(state)
@@ -611,6 +625,16 @@
             draining=instance.draining,
         )
 
+    def _on_store_restored(self) -> None:
+        """Start anew from listings; entries that were lost are about to return."""
+        self._instance_directory.on_relayed_recovery(0.0, self._now_ms())
+        self._effective_offsets.clear()
+        self._controller.on_new_era()
+        self._fact_sharing.on_new_era()
+        self._group_member.on_new_era()
+        for follower in self._exchange.follower_by_topic.values():
+            follower.start_anew()
+
     def _on_reachable(self) -> None:
         self._instance_directory.on_reachable(self._now_ms())
 
@@ -619,27 +643,15 @@
 
     # Key assignments.
 
-    def _on_assignment_log_listing(self, records: Sequence[keyed_log.Record]) -> None:
-        for record in records:
-            self._on_assignment_record(record)
-
-    def _on_assignment_record(self, record: keyed_log.Record) -> None:
-        if record.key != ASSIGNMENT_MAP_KEY or record.value is None:
-            return
-        try:
-            assignment_map = key_leases.decode(record.value)
-        except msgspec.DecodeError as error:
-            events.emit(
-                203, topic=ASSIGNMENT_LOG_TOPIC, offset=record.offset, error=str(error)
-            )
-            return
-        self._copies.put(ASSIGNMENT_LOG_TOPIC, record)
+    def _on_recorded_map(self, assignment_map: key_leases.AssignmentMap) -> bool:
         self._controller.on_recorded_map(assignment_map)
-        self._apply_assignment_map(assignment_map)
+        return self._apply_assignment_map(assignment_map)
 
-    def _apply_assignment_map(self, assignment_map: key_leases.AssignmentMap) -> None:
-        if self._key_view.on_assignment_map(assignment_map):
+    def _apply_assignment_map(self, assignment_map: key_leases.AssignmentMap) -> bool:
+        is_newest = self._key_view.on_assignment_map(assignment_map)
+        if is_newest:
             self._gateway.on_holders_changed()
+        return is_newest
 
     def _find_holder(self, service: str, key: int) -> view.KeyHolder:
         return self._key_view.find_holder(service, key, self._now_ms())
@@ -658,42 +670,8 @@
         config = self._find_service(service)
         return "" if config is None else config.health_path
 
-    async def _read_log_tail(self) -> leases.AssignmentLogTail | None:
-        listing = await self._store_client.list_newest(ASSIGNMENT_LOG_TOPIC)
-        if isinstance(listing, keyed_log.Unavailable):
-            return None
-        for record in listing.records:
-            if record.key != ASSIGNMENT_MAP_KEY or record.value is None:
-                continue
-            if record.offset != listing.end_offset - 1:
-                # A record was appended after this one was listed, so the map may be
-                # outdated.
-                return None
-            try:
-                return leases.AssignmentLogTail(
-                    key_leases.decode(record.value), listing.end_offset
-                )
-            except msgspec.DecodeError as error:
-                events.emit(
-                    203,
-                    topic=ASSIGNMENT_LOG_TOPIC,
-                    offset=record.offset,
-                    error=str(error),
-                )
-                return None
-        return leases.AssignmentLogTail(key_leases.EMPTY_MAP, listing.end_offset)
-
-    async def _append_assignment_map(
-        self, assignment_map: key_leases.AssignmentMap, end_offset: int
-    ) -> leases.AppendResult:
-        data = key_leases.encode(assignment_map)
-        return await self._store_client.append(
-            ASSIGNMENT_LOG_TOPIC, ASSIGNMENT_MAP_KEY, data, end_offset
-        )
-
     def _on_vms_listing(self, records: Sequence[keyed_log.Record]) -> None:
-        for record in records:
-            self._exchange.on_vm_record(record)
+        self._exchange.on_vms_listing(records)
         self._vms_listed.set()
 
     async def _send_in_flight_counts(self) -> None:
--- a/src/wasabivalve/platform/facts.py
+++ b/src/wasabivalve/platform/facts.py
@@ -61,6 +61,14 @@
         self._unrecorded: set[str] = set()
         self._append_task: asyncio.Task[None] | None = None
 
+    def on_new_era(self) -> None:
+        """Count no fact as recorded, as the store may have lost it.
+
+        What a listing brings counts again; the controller records the rest.
+        """
+        for subject in self._value_by_member_by_recorded:
+            self._value_by_member_by_recorded[subject] = {}
+
     def close(self) -> None:
         """Stop publishing."""
         if self._publication is not None:
@@ -79,7 +87,7 @@
 
     async def claim_trial(self, fingerprint: str, member: str) -> bool:
         """Record the trial of a request if no other VM has recorded anything since."""
-        offset = self._next_offset()
+        offset, era = self._next_offset(), self._store_client.era.newest
         if offset is None:
             return False
         crash = shared_facts.FactKind.CRASH
@@ -87,7 +95,9 @@
         trial = shared_facts.Fact(crash, fingerprint, member, running, 0.0)
         known = [fact for fact in self._known(fingerprint) if fact.member != member]
         data = _encode([*known, trial])
-        result = await self._store_client.append(FACTS_TOPIC, fingerprint, data, offset)
+        result = await self._store_client.append(
+            FACTS_TOPIC, fingerprint, data, offset, era
+        )
         if result != "done":
             return False
         self.board.observe(crash, fingerprint, member, running, self._now_ms())
--- a/src/wasabivalve/platform/membership.py
+++ b/src/wasabivalve/platform/membership.py
@@ -76,6 +76,10 @@
         self._partitions: frozenset[int] = frozenset()
         self._leaving = False
 
+    def on_new_era(self) -> None:
+        """Join the group as a new member, as the store may have lost this one."""
+        self._generation, self._partitions = 0, frozenset()
+
     async def run(self) -> None:
         """Register, then join the group periodically while this VM is ready.
 
@@ -84,11 +88,12 @@
         vm = self._settings.vm
         registration = msgspec.json.encode(self._settings.vm_registration)
         await self._vms_listed.wait()
-        recorded = self._exchange.directory.recorded_own_registration
-        is_new = recorded != self._settings.vm_registration
+        directory = self._exchange.directory
+        is_new = directory.recorded_own_registration != self._settings.vm_registration
         while is_new:
             result = await self._store_client.append(VMS_TOPIC, vm, registration)
             if result == "done":
+                directory.recorded_own_registration = self._settings.vm_registration
                 break
             await asyncio.sleep(JOIN_INTERVAL_S)
         min_ttl_s = self._settings.min_group_ttl_ms / SECOND_MS
@@ -97,6 +102,7 @@
             if self._is_candidate():
                 await self._list_vms()
         while not self._leaving:
+            await self._register_again(vm, registration)
             has_no_partition = self._generation > 0 and not self._partitions
             store_responded = True
             if self._is_ready() and self._is_candidate():
@@ -108,6 +114,14 @@
                 UNASSIGNED_JOIN_INTERVAL_S if may_wait else JOIN_INTERVAL_S
             )
 
+    async def _register_again(self, vm: str, registration: bytes) -> None:
+        """Register if a listing showed that the store has lost the registration."""
+        directory = self._exchange.directory
+        if directory.recorded_own_registration == self._settings.vm_registration:
+            return
+        if await self._store_client.append(VMS_TOPIC, vm, registration) == "done":
+            directory.recorded_own_registration = self._settings.vm_registration
+
     async def _list_vms(self) -> None:
         """Read which VMs registered at the same time, as they decide who may join.
 
--- a/src/wasabivalve/platform/metrics_page.py
+++ b/src/wasabivalve/platform/metrics_page.py
@@ -10,7 +10,7 @@
 
 def render(
     served_gateway: gateway.Gateway,
-    store_calls: int,
+    store_client: store.StoreClient,
     listed_instances: int,
     limits: ramp_up.PacedLimits,
     now_ms: float,
@@ -20,7 +20,8 @@
     metrics.gauge("request.in_work", served_gateway.busy_connections)
     metrics.gauge("upstream.handshake", served_gateway.pool.handshakes)
     served_gateway.buffers.report(metrics.gauge)
-    metrics.gauge("store.call", store_calls)
+    metrics.gauge("store.call", store_client.call_count)
+    metrics.gauge("store.era", store_client.era.newest)
     metrics.gauge("instance.listed", listed_instances)
     metrics.gauge("instance.cold", limits.cold_count(now_ms))
     metrics.gauge("instance.paced", limits.paced_count(now_ms))
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -13,6 +13,7 @@
 from wasabivalve.gateway import messages, receiving, upstream_connection
 from wasabivalve.key_leases import leases
 from wasabivalve.keyed_log import core as keyed_log
+from wasabivalve.keyed_log import store_era
 
 from . import settings
 
@@ -45,6 +46,11 @@
 APPEND_TIMEOUT_S = 0.6
 """Timeout of an append; a store slowed by a factor of 60 responds within 0.3 s."""
 
+ERA_HEADER = b"store-era"
+"""Header of the number of times that the store was restored from an older copy."""
+
+MAX_ERA_DIGITS = 9
+
 REFUSED_APPEND_STATUSES = frozenset({409, 413, 429, 503, 507})
 """Statuses of an append that guarantee that nothing was written."""
 
@@ -63,7 +69,10 @@
     A label of ``call_count_by_label`` is the name of a call and its topic, if any.
     """
 
-    def __init__(self, address: settings.HostPort) -> None:
+    def __init__(
+        self, address: settings.HostPort, era: store_era.StoreEra | None = None
+    ) -> None:
+        self.era = era or store_era.StoreEra()
         self._address = address
         self._idle: list[upstream_connection.UpstreamConnection] = []
         self.call_count = 0
@@ -82,10 +91,18 @@
         records: list[keyed_log.Record] = []
         end_offset: int | None = None
         query: dict[str, Any] = {"topic": topic, "part": 0}
+        changes = self.era.change_count
         while True:
             response = await self._call("GET", "log-newest", query)
             if not isinstance(response, messages.HttpResponse):
                 return response
+            if self.era.change_count != changes:
+                # Pages of two eras do not belong together.
+                changes = self.era.change_count
+                if "after" in query:
+                    del query["after"]
+                    records, end_offset = [], None
+                    continue
             if response.status != 200:
                 return _unexpected_status(response)
             try:
@@ -132,12 +149,15 @@
         key: str,
         value: bytes | None,
         expected_end_offset: int | None = None,
+        expected_era: int | None = None,
     ) -> leases.AppendResult:
         """Append a keyed record, or remove the key if the value is None.
 
         If ``expected_end_offset`` is given, the record is appended only if the topic
         ends there; otherwise the result is ``moved``. ``unknown`` means that the record
-        may already be written or may be written seconds later.
+        may already be written or may be written seconds later. An append that a store
+        of another era than ``expected_era`` confirmed is ``moved`` as well: that store
+        ended at the same offset by chance.
         """
         content = bytes([len(key.encode())]) + key.encode() + (value or b"")
         body = RECORD_LENGTH.pack(len(content)) + content
@@ -150,6 +170,8 @@
         if not isinstance(response, messages.HttpResponse):
             return "unknown" if response.sent else "refused"
         if response.status == 200:
+            if expected_era is not None and self._era_of(response) != expected_era:
+                return "moved"
             return "done"
         if response.status == 412:
             return "moved"
@@ -223,6 +245,8 @@
             if isinstance(result, upstream_connection.ExchangeFailed):
                 return keyed_log.Unavailable(result.reason)
             reusable = connection.usable
+            if not self.era.observe(self._era_of(result), "store"):
+                return keyed_log.Unavailable("answer of an older era of the store")
             return result
         except TimeoutError:
             return keyed_log.Unavailable("no answer in time")
@@ -233,6 +257,13 @@
             else:
                 connection.abort()
 
+    def _era_of(self, response: messages.HttpResponse) -> int:
+        """Return the era of an answer; one that names none counts as the newest."""
+        value = response.header(ERA_HEADER) or b""
+        if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+            return self.era.newest
+        return int(value)
+
     async def _connect(
         self,
     ) -> upstream_connection.UpstreamConnection | upstream_connection.NotSent:
--- a/src/wasabivalve/platform/tests/soak/core.py
+++ b/src/wasabivalve/platform/tests/soak/core.py
@@ -65,6 +65,8 @@
         self.random = random.Random(seed)
         self.run_tracker = instances.RunTracker()
         self.store = store_stand_in.StoreStandIn()
+        # Seeds without the later faults keep a store that names no era.
+        self.store.era = 1 if all_faults else 0
         self.relays = []
         self.vms = []
         self.instances = []
@@ -327,6 +329,24 @@
         await asyncio.sleep(duration_s)
         self.store.refuses_calls = False
 
+    async def restore_store(self, vm):
+        """Restore the store from a copy that is some seconds old.
+
+        The operator and the instances write again what they wrote.
+        """
+        end_by_topic = self.store.copy_end_offsets()
+        await asyncio.sleep(self.random.uniform(0.2, 4.0))
+        self.mark_all_disturbed(3.0)
+        self.store.refuses_calls = True
+        await asyncio.sleep(self.random.uniform(0.05, 0.5))
+        self.store.restore(end_by_topic)
+        self.store.refuses_calls = False
+        await asyncio.sleep(self.random.uniform(0.0, 1.5))
+        for instance in self.instances:
+            is_draining = instance.name in self._draining_names
+            self.register_instance(instance, "draining" if is_draining else "ready")
+        self.publish_desired_state()
+
     async def drop_store_responses(self, vm):
         """Make the store carry out a few calls without a response."""
         self.mark_all_disturbed(2.0)
@@ -449,7 +469,11 @@
             self.send_crashing_request,
         )
         if self._all_faults:
-            fault_kinds += (self.send_changing_request, self.restart_under_rare_path)
+            fault_kinds += (
+                self.send_changing_request,
+                self.restart_under_rare_path,
+                self.restore_store,
+            )
         # Each process has at most one fault that affects it directly at a time.
         busy_vms = set()
         running = []
--- a/src/wasabivalve/platform/tests/store_stand_in.py
+++ b/src/wasabivalve/platform/tests/store_stand_in.py
@@ -29,8 +29,9 @@
 class StoreStandIn:
     """Serve topics and groups.
 
-    While ``refuses_calls`` is set, all calls fail with status 503. The next
-    ``responses_to_drop`` calls are carried out without a response.
+    An ``era`` above 0 is named in all responses. While ``refuses_calls`` is set, all
+    calls fail with status 503. The next ``responses_to_drop`` calls are carried out
+    without a response.
     """
 
     def __init__(self):
@@ -39,6 +40,7 @@
         self.buffers = receiving.ReceiveBuffers(32 * receiving.MIB)
         self.refuses_calls = False
         self.responses_to_drop = 0
+        self.era = 0
         self.records_by_topic = {}
         self.first_offset_by_topic = {}
         self.expiry_by_member_by_group = {}
@@ -82,8 +84,30 @@
         """Delete the records before an offset; the newest of each key stays listed."""
         self.first_offset_by_topic[topic] = first_offset
 
+    def copy_end_offsets(self):
+        """Return where each topic ends, to restore the store to this state."""
+        return {topic: len(records) for topic, records in self.records_by_topic.items()}
+
+    def restore(self, end_by_topic):
+        """Restore the store from an older copy, in a new era.
+
+        Groups and their members are lost as well.
+        """
+        for topic, records in self.records_by_topic.items():
+            del records[end_by_topic.get(topic, 0) :]
+        self.expiry_by_member_by_group.clear()
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def handle(self, request):
         """Respond to one call."""
+        response = await self._handle(request)
+        if self.era:
+            response.headers.append((b"store-era", b"%d" % self.era))
+        return response
+
+    async def _handle(self, request):
         url = urllib.parse.urlsplit(request.target.decode())
         query = dict(urllib.parse.parse_qsl(url.query))
         self.calls.append((url.path, query))
@@ -114,7 +138,8 @@
     async def _log_read(self, query, body):
         topic, start_offset = query["topic"], int(query["from"])
         first_offset = self.first_offset_by_topic.get(topic, 0)
-        if start_offset < first_offset:
+        ahead = start_offset > len(self.records_by_topic.get(topic, []))
+        if start_offset < first_offset or ahead:
             return _json_response(410, {"first": first_offset})
         records = self.records_by_topic.setdefault(topic, [])
         if start_offset >= len(records) and "wait_ms" in query:
@@ -124,7 +149,7 @@
             except TimeoutError:
                 pass
             first_offset = self.first_offset_by_topic.get(topic, 0)
-            if start_offset < first_offset:
+            if start_offset < first_offset or start_offset > len(records):
                 return _json_response(410, {"first": first_offset})
         data = BATCH_OFFSETS.pack(len(records), first_offset)
         for content in records[start_offset:]:
--- a/src/wasabivalve/platform/tests/test_store.py
+++ b/src/wasabivalve/platform/tests/test_store.py
@@ -160,3 +160,62 @@
     monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.15)
     assert asyncio.run(main(0.05)) == keyed_log.Listing([], 4)
     assert asyncio.run(main(0.5)) == keyed_log.Unavailable("no answer in time")
+
+
+def test_reader_ahead_of_a_restored_store_learns_the_era():
+    """A reader that waits at a lost offset would miss what is written before it."""
+
+    async def scenario(stand_in, client):
+        stand_in.era = 1
+        copy = stand_in.copy_end_offsets()
+        stand_in.put("keyed.op", "config", b"1")
+        assert (await client.list_newest("keyed.op")).end_offset == 1
+        restored_eras = []
+        client.era.add_listener(lambda: restored_eras.append(client.era.newest))
+        stand_in.restore(copy)
+        assert await client.read("keyed.op", 1, 0.0) == keyed_log.Trimmed(0)
+        assert restored_eras == [2]
+
+    run_scenario(scenario)
+
+
+def test_append_in_another_era_is_not_done():
+    """A restored log may end by chance at the offset that an older append names."""
+
+    async def scenario(stand_in, client):
+        stand_in.era = 1
+        await client.append("keyed.keys", "map", b"1", 0, 1)
+        copy = stand_in.copy_end_offsets()
+        await client.append("keyed.keys", "map", b"2", 1, 1)
+        stand_in.restore(copy)
+        assert await client.append("keyed.keys", "map", b"3", 1, 1) == "moved"
+
+    run_scenario(scenario)
+
+
+def test_pages_of_two_eras_are_not_joined():
+    """A listing with lost entries would be believed as what the store has."""
+
+    async def scenario(stand_in, client):
+        stand_in.era = 1
+        for number in range(4):
+            stand_in.put("keyed.servers", f"i-{number}", b"{}")
+        copy = stand_in.copy_end_offsets()
+        stand_in.put("keyed.servers", "i-0", None)
+        stand_in.put("keyed.servers", "i-9", b"{}")
+        handle = stand_in.handle
+
+        async def restore_after_first_page(request):
+            response = await handle(request)
+            if stand_in.era == 1:
+                stand_in.restore(copy)
+            return response
+
+        stand_in.handle = restore_after_first_page
+        listing = await client.list_newest("keyed.servers")
+        assert [record.key for record in listing.records] == [
+            f"i-{number}" for number in range(4)
+        ]
+        assert listing.end_offset == 4
+
+    run_scenario(scenario)
--- a/src/wasabivalve/vm_link/copies.py
+++ b/src/wasabivalve/vm_link/copies.py
@@ -23,6 +23,7 @@
     upstream_connection,
 )
 from wasabivalve.keyed_log import core as keyed_log
+from wasabivalve.keyed_log import store_era
 
 from . import core
 
@@ -54,10 +55,14 @@
 
 
 class DocumentCopy(NamedTuple):
-    """Hold the newest record of each key of a topic that ends at an offset."""
+    """Hold the newest record of each key of a topic that ends at an offset.
+
+    Offsets are those of the store's ``era``.
+    """
 
     records: list[keyed_log.Record]
     end_offset: int
+    era: int = store_era.NO_ERA
 
 
 class _Document:
@@ -66,11 +71,16 @@
     def __init__(self) -> None:
         self.copy: DocumentCopy | None = None
         self.compressed: bytes | None = None
+        # The newest record of each key that has taken effect.
+        self.accepted_by_key: dict[str, keyed_log.Record] = {}
         self.changed = asyncio.Event()
 
     def put(self, copy: DocumentCopy) -> None:
         """Replace the copy by a newer one."""
-        if self.copy is not None and copy.end_offset < self.copy.end_offset:
+        if self.copy is not None and (copy.era, copy.end_offset) < (
+            self.copy.era,
+            self.copy.end_offset,
+        ):
             return
         self.copy, self.compressed = copy, None
         self.changed.set()
@@ -89,7 +99,9 @@
         topics: Iterable[str],
         sources: Callable[[], Iterable[core.SocketAddress]],
         known_end: Callable[[str], int] = lambda topic: 0,
+        era: store_era.StoreEra | None = None,
     ) -> None:
+        self._era = era or store_era.StoreEra()
         self._sources = sources
         self._known_end = known_end
         self._document_by_topic = {topic: _Document() for topic in topics}
@@ -111,18 +123,37 @@
         A record without a value removes its key.
         """
         document = self._document_by_topic[topic]
-        known = document.copy or DocumentCopy([], 0)
+        document.accepted_by_key[record.key] = record
+        known = document.copy
+        if known is None or known.era < self._era.newest:
+            known = DocumentCopy([], 0)
         if record.offset < known.end_offset:
             return
         records = [other for other in known.records if other.key != record.key]
         if record.value:
             records.append(record)
-        document.put(DocumentCopy(records, record.offset + 1))
+        document.put(DocumentCopy(records, record.offset + 1, self._era.newest))
+
+    def retain(self, topic: str, key: str) -> None:
+        """Offer the newest accepted record of a key in place of an older one.
+
+        A restored store may list a document that has been replaced already.
+        """
+        document = self._document_by_topic[topic]
+        copy, accepted = document.copy, document.accepted_by_key.get(key)
+        if copy is None or accepted is None:
+            return
+        values = [record.value for record in copy.records if record.key == key]
+        if values != [accepted.value]:
+            others = [record for record in copy.records if record.key != key]
+            kept = accepted._replace(offset=copy.end_offset - 1)
+            document.put(copy._replace(records=[*others, kept]))
 
     def put_listing(self, topic: str, listing: keyed_log.Listing) -> None:
         """Store what a topic holds, which may be nothing yet."""
-        copy = DocumentCopy(list(listing.records), listing.end_offset)
-        self._document_by_topic[topic].put(copy)
+        self._document_by_topic[topic].put(
+            DocumentCopy(list(listing.records), listing.end_offset, self._era.newest)
+        )
 
     async def fetch_listing(self, topic: str, offset: int) -> keyed_log.Listing | None:
         """Return another VM's copy as a listing, or None.
@@ -192,7 +223,10 @@
         if isinstance(connection, upstream_connection.NotSent):
             events.emit(104, reason=connection.reason, **log_fields)
             return None
+        era = self._era.newest
         target = f"{COPIES_PATH}{topic}/{min_end_offset}".encode()
+        if era != store_era.NO_ERA:
+            target += b"/%d" % era
         headers = [(b"host", f"{host}:{port}".encode())]
         try:
             outcome = await connection.exchange(
@@ -205,27 +239,37 @@
             events.emit(104, reason=reason, **log_fields)
             return None
         copy = _decode_copy(outcome.body)
-        if copy is None or copy.end_offset < min_end_offset:
+        if (
+            copy is None
+            or not self._era.observe(copy.era, host)
+            or copy.era != era
+            or copy.end_offset < min_end_offset
+        ):
             events.emit(104, reason="invalid or outdated copy", **log_fields)
             return None
         return copy
 
     async def _handle(self, request: messages.HttpRequest) -> messages.HttpResponse:
-        topic, _, text = request.path.removeprefix(COPIES_PATH).partition("/")
+        topic, *texts = request.path.removeprefix(COPIES_PATH).split("/")
         document = self._document_by_topic.get(topic)
         if (
             document is None
             or not request.path.startswith(COPIES_PATH)
-            or not text.isdigit()
+            or len(texts) not in (1, 2)
+            or not all(text.isdigit() for text in texts)
         ):
             return messages.local_response(404, "there is nothing here")
-        min_end_offset = int(text)
+        min_end_offset = int(texts[0])
+        min_era = int(texts[1]) if len(texts) == 2 else store_era.NO_ERA
         try:
             async with asyncio.timeout(SOURCE_WAIT_S):
-                while (
-                    document.copy is None or document.copy.end_offset < min_end_offset
+                while document.copy is None or (
+                    (document.copy.era, document.copy.end_offset)
+                    < (min_era, min_end_offset)
                 ):
-                    if self._known_end(topic) >= max(1, min_end_offset):
+                    if self._era.newest == min_era and self._known_end(topic) >= max(
+                        1, min_end_offset
+                    ):
                         return messages.local_response(
                             503, "the topic is known here, but not its record"
                         )
--- a/src/wasabivalve/vm_link/core.py
+++ b/src/wasabivalve/vm_link/core.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from wasabivalve import events, shared_facts
+from wasabivalve.keyed_log import store_era
 from wasabivalve.placement import service_times
 from wasabivalve.slot_dispatch import messages as dispatch_messages
 
@@ -38,7 +39,7 @@
     ``topic`` from offset ``first`` to its end in ``end_by_topic`` that change anything.
     ``key_term`` and ``key_number`` identify the newest assignment map.
     ``recovered_ms`` is the time since the sender noticed the end of an outage of the
-    store, None if that is long ago.
+    store, None if that is long ago. The offsets are those of the store's ``era``.
     """
 
     vm: str
@@ -50,6 +51,7 @@
     key_term: int
     key_number: int
     recovered_ms: float | None = None
+    era: int = store_era.NO_ERA
 
 
 class TrafficReport(msgspec.Struct, array_like=True, frozen=True, tag="keys"):
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -16,6 +16,7 @@
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.key_leases import key_loads, view
 from wasabivalve.keyed_log import core as keyed_log
+from wasabivalve.keyed_log import store_era
 from wasabivalve.placement import service_times
 from wasabivalve.slot_dispatch import messages as dispatch_messages
 
@@ -112,8 +113,10 @@
         shared_service_times: service_times.ServiceTimes,
         callbacks: ExchangeCallbacks,
         relay_validity_s: float = keyed_log.MIN_RELAY_VALIDITY_S,
+        era: store_era.StoreEra | None = None,
     ) -> None:
         self.directory = directory
+        self._store_era = era or store_era.StoreEra()
         self.follower_by_topic: Mapping[str, keyed_log.TopicFollower] = {}
         self._vm = vm
         self._topics = topics
@@ -170,6 +173,12 @@
         if not self.directory.on_record(record):
             events.emit(100, sender=record.key[:40], size=len(record.value or b""))
 
+    def on_vms_listing(self, records: Sequence[keyed_log.Record]) -> None:
+        """Apply the registrations of a listing."""
+        self.directory.start_listing()
+        for record in records:
+            self.on_vm_record(record)
+
     def relay(
         self, topic: str, first: int, end: int, records: list[keyed_log.Record]
     ) -> None:
@@ -201,6 +210,7 @@
                 part_records,
                 *map_version,
                 recovered_ms,
+                self._store_era.newest,
             )
             if not self._send(message, receivers):
                 # A single record exceeds a packet; receivers read it from the store.
@@ -404,7 +414,8 @@
                 message.share_by_key_by_service,
                 self._now_ms(),
             )
-        else:
+        elif self._store_era.observe(message.era, message.vm):
+            # Offsets of an older era mean other records.
             if message.leads:
                 self._controller_address = sender
                 self._controller_relay_at = self._loop.time()
--- a/src/wasabivalve/vm_link/vm_directory.py
+++ b/src/wasabivalve/vm_link/vm_directory.py
@@ -59,6 +59,14 @@
         self._region_vms: tuple[str, ...] | None = None
         self._ranked_by_key_and_region: dict[tuple[str, str], tuple[str, ...]] = {}
 
+    def start_listing(self) -> None:
+        """Prepare for the records of a listing, which may lack this VM.
+
+        Other VMs that it lacks stay known: a restored store has lost them, and they
+        register again.
+        """
+        self.recorded_own_registration = None
+
     def on_record(self, record: keyed_log.Record) -> bool:
         """Apply a registration or its removal; return False if it is not valid."""
         self._region_vms = None
