Treat an answer with an invalid status as no answer

Cause: a status below 200 was taken for an interim response, so that the caller of status 000 waited until its time limit and got 504; statuses from 600 on were passed on. The threaded daemon also passed on interim responses other than 100 as final ones. Change: the gateway gives up such an answer when its head is read, the threaded daemon before its body; the attempt counts as failed, and an idempotent request is retried.

--- a/src/wasabivalve/entry/tests/test_upstream_client.py
+++ b/src/wasabivalve/entry/tests/test_upstream_client.py
@@ -176,3 +176,12 @@
         patch.setattr(response_limits.ResponseMemory, "__init__", remember)
         send([ENDLESS + b"HTTP/1.1 200 OK\r\n\r\n" + b"b" * 100_000], 1)
     assert [memory.total_bytes for memory in memories] == [0]
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"103", b"600", b"700", b"999"])
+def test_invalid_status_is_no_answer(send, status):
+    """A status that is none was passed on to the caller."""
+    invalid = DONE.replace(b"200 OK", status + b" None")
+    (first, second), server = send([invalid, DONE], 2)
+    assert isinstance(first, outcomes.Unknown) and isinstance(second, outcomes.Done)
+    assert server.connections == 2
--- a/src/wasabivalve/entry/upstream_client.py
+++ b/src/wasabivalve/entry/upstream_client.py
@@ -188,6 +188,12 @@
         response: urllib3.BaseHTTPResponse,
         started_at: float,
     ) -> AttemptResult:
+        if not retries.is_final_status(response.status):
+            # The standard library returns every interim response but 100 as final.
+            response.close()
+            reason = f"status {response.status:03} is not that of an answer"
+            events.emit(400, request_id=request.request_id, error=reason)
+            return AttemptResult(outcomes.Unknown(reason), _elapsed_ms(started_at))
         if not _is_reusable(request, response) and response.connection is not None:
             response.connection.replace_before_use = True  # type: ignore[attr-defined]
         try:
--- a/src/wasabivalve/gateway/upstream_connection.py
+++ b/src/wasabivalve/gateway/upstream_connection.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from wasabivalve import retries
+
 from . import disconnects, memory_account, messages, receiving, response_stream
 
 MAX_MISMATCHED_RESPONSES = 4
@@ -265,6 +267,9 @@
     def on_headers_complete(self) -> None:
         """Determine how the end of the body is found."""
         self._status = self._parser.get_status_code()
+        if not retries.is_valid_status(self._status):
+            self._fail(ExchangeFailed(f"status {self._status:03} is not valid"))
+            return
         names = {name for name, _ in self._headers}
         has_framing_header = b"content-length" in names or b"transfer-encoding" in names
         self._self_delimited = (
--- a/src/wasabivalve/retries/__init__.py
+++ b/src/wasabivalve/retries/__init__.py
@@ -7,6 +7,8 @@
     TransportFailure,
     UpstreamResponse,
     classify,
+    is_final_status,
+    is_valid_status,
     proves_not_run,
 )
 from .core import (
@@ -32,6 +34,8 @@
     "UpstreamResponse",
     "backoff_ms",
     "classify",
+    "is_final_status",
+    "is_valid_status",
     "next_attempt",
     "proves_not_run",
 ]
--- a/src/wasabivalve/retries/classification.py
+++ b/src/wasabivalve/retries/classification.py
@@ -14,6 +14,11 @@
 A server responds with 409 when its lease ended before the commit.
 """
 
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
+"""Bounds of the statuses of HTTP; a message with another one is no answer."""
+
 NOT_CONNECTED = "not_connected"
 TRUNCATED_BODY = "cut_off"
 REQUEST_ID_MISMATCH = "other_request"
@@ -59,6 +64,16 @@
     first_on_connection: bool
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a number is a status of HTTP, and its message an answer."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a status is valid and not that of an interim response."""
+    return MIN_FINAL_STATUS <= status <= MAX_STATUS
+
+
 def proves_not_run(evidence: RefusalEvidence) -> bool:
     """Return whether a refusal certainly belongs to this attempt.
 
