--- a/src/wasabivalve/desired_state/consistency.py
+++ b/src/wasabivalve/desired_state/consistency.py
@@ -49,16 +49,17 @@
 class Configuration(NamedTuple):
     """Hold the entries of a document in their order, also those that others replace.
 
-    ``all_routes_known`` and ``all_services_known`` are false if the document has
-    further entries that could not be decoded. What such an entry may use or provide
-    is not reported as unused or missing.
+    ``rejected_services`` are the names of services that could not be decoded, and
+    ``services_of_rejected_routes`` those that routes which could not be decoded use.
+    None means that not all of these names are known: what such an entry may use or
+    provide is not reported as unused or missing.
     """
 
     routes: tuple[core.RouteConfig, ...]
     services: tuple[core.ServiceConfig, ...]
     limits: tuple[core.CallerLimits, ...]
-    all_routes_known: bool = True
-    all_services_known: bool = True
+    rejected_services: frozenset[str] | None = frozenset()
+    services_of_rejected_routes: frozenset[str] | None = frozenset()
 
 
 def check(
@@ -135,17 +136,20 @@
 
 
 def _find_unusable_services(configuration: Configuration) -> Iterator[Problem]:
-    used = set()
+    used = set(configuration.services_of_rejected_routes or ())
+    rejected = configuration.rejected_services
     last_by_name = {
         service.name: index for index, service in enumerate(configuration.services)
     }
     for index, route in enumerate(configuration.routes):
         for part, weighted in enumerate(route.weighted_services):
             used.add(weighted.service)
-            if (
-                configuration.all_services_known
-                and weighted.service not in last_by_name
-            ):
+            is_configured = (
+                rejected is None
+                or weighted.service in rejected
+                or weighted.service in last_by_name
+            )
+            if not is_configured:
                 yield Problem(
                     NEVER_MATCHES,
                     Place("routes", index, "service", part),
@@ -158,7 +162,10 @@
                 Place("services", index, "name"),
                 f"{service.name!r} has no effect: a service below it has the same name",
             )
-        elif configuration.all_routes_known and service.name not in used:
+        elif (
+            configuration.services_of_rejected_routes is not None
+            and service.name not in used
+        ):
             yield Problem(
                 NEVER_MATCHES,
                 Place("services", index),
--- a/src/wasabivalve/desired_state/tests/test_consistency.py
+++ b/src/wasabivalve/desired_state/tests/test_consistency.py
@@ -71,8 +71,12 @@
 
 def test_entries_that_could_not_be_decoded_may_be_used_or_provide():
     """An error in one entry must not cause further findings on sound ones."""
-    assert check(routes=(), all_routes_known=False) == ()
-    assert check(services=(), all_services_known=False) == ()
+    for names in (None, frozenset({"desk"})):
+        assert check(routes=(), services_of_rejected_routes=names) == ()
+        assert check(services=(), rejected_services=names) == ()
+    others = frozenset({"dusk"})
+    assert len(check(routes=(), services_of_rejected_routes=others)) == 1
+    assert len(check(services=(), rejected_services=others)) == 1
 
 
 def test_part_of_a_split_without_weight():
--- a/src/wasabivalve/platform/desired_state.py
+++ b/src/wasabivalve/platform/desired_state.py
@@ -41,18 +41,25 @@
     spec: Mapping[str, Any]
 
 
-class DecodedDocument(NamedTuple):
-    """Hold the resources that could be decoded and all problems of the others.
+class RejectedResource(NamedTuple):
+    """Hold what could be read of a resource with problems.
 
-    ``rejected_kinds`` are the kinds of which a resource could not be decoded; a
-    resource whose kind is unreadable counts for all kinds.
+    An empty ``kind`` means that it could not be read; None means that nothing else
+    could. Fields of ``value`` that could not be read are empty or 0.
     """
 
+    kind: str
+    value: _Resource | None
+
+
+class DecodedDocument(NamedTuple):
+    """Hold the resources that could be decoded and all problems of the others."""
+
     version: int
     routes: tuple[Located[desired_state.RouteConfig], ...]
     services: tuple[Located[desired_state.ServiceConfig], ...]
     limits: tuple[Located[desired_state.CallerLimits], ...]
-    rejected_kinds: frozenset[str]
+    rejected: tuple[RejectedResource, ...]
     problems: tuple[Problem, ...]
 
 
@@ -86,7 +93,7 @@
     version = reader.read_field(document, "version", int, "", 0)
     resources = reader.read_field(document, "resources", list, "", None)
     located_by_kind: dict[str, list[Located[Any]]] = {kind: [] for kind in KINDS}
-    rejected_kinds: set[str] = set()
+    rejected: list[RejectedResource] = []
     for index, resource in enumerate(resources or ()):
         path = f"resources[{index}]"
         problem_count = len(reader.problems)
@@ -94,10 +101,12 @@
         spec = reader.read_field(resource, "spec", dict, path, None)
         value = _decode_resource(reader, kind, resource, path)
         if len(reader.problems) > problem_count:
-            rejected_kinds.update((kind,) if kind else KINDS)
+            rejected.append(RejectedResource(kind, value))
         elif value is not None:
             located_by_kind[kind].append(Located(value, path, spec))
-    has_limits = located_by_kind[LIMITS_KIND] or LIMITS_KIND in rejected_kinds
+    has_limits = located_by_kind[LIMITS_KIND] or any(
+        resource.kind in (LIMITS_KIND, "") for resource in rejected
+    )
     if resources is not None and not has_limits:
         reader.add_problem("resources", f"has no resource of kind {LIMITS_KIND}")
     return DecodedDocument(
@@ -105,7 +114,7 @@
         tuple(located_by_kind[ROUTES_KIND]),
         tuple(located_by_kind[SERVICES_KIND]),
         tuple(located_by_kind[LIMITS_KIND]),
-        frozenset(rejected_kinds),
+        tuple(rejected),
         tuple(reader.problems),
     )
 
