Add the command check-desired-state

Cause: an operator learnt of an error in a desired state from event WV0503 of the VMs, after it was sent, and of an entry without effect from its callers. Measured: pytest src/wasabivalve/cli passes.

--- a/src/wasabivalve/cli/core.py
+++ b/src/wasabivalve/cli/core.py
@@ -7,6 +7,7 @@
 from wasabivalve.stand_ins import command as stand_in_command
 
 from . import (
+    check_command,
     completion_command,
     configuration_commands,
     explain_command,
@@ -25,6 +26,7 @@
 
 for _module in (
     configuration_commands,
+    check_command,
     observation_commands,
     waiting_commands,
     report_commands,
