--- a/src/wasabivalve/cli/tests/test_check_command.py
+++ b/src/wasabivalve/cli/tests/test_check_command.py
@@ -81,3 +81,28 @@
     assert "3 findings (error 3)" in output
     new = write(tmp_path / "new", 8)
     assert f"{broken}: $: error: not JSON" in run(new, *options, code=1)
+
+
+SETTINGS = """
+node = "front-1"
+ip = "10.1.0.15"
+zone = "east"
+internal_ports = [7620]
+bounds = ["grace_s=6", "retry_budget_ratio=0.2", "budget_window_s=10",
+    "budget_slack=58", "hold_max_s=10", "drain_s=2.5", "config_apply_s=2.5"]
+zones = { east = "sea" }
+listen = { front = "10.1.0.15:8641", ready_address = "10.1.0.15:8640" }
+limits = { link_mbps = 1000.0, memory_mb = 300 }
+platform = { address = "10.200.1.7:8642", ttl_min_s = 1 }
+"""
+
+
+def test_regions_of_the_settings_and_of_the_options_are_known(tmp_path):
+    """An allowed region that the deployment lacks leaves a route without instances."""
+    settings = tmp_path / "settings.toml"
+    settings.write_text(SETTINGS)
+    new = write(tmp_path / "new", 8)
+    output = run(new, "--settings", settings, code=1)
+    assert "$.resources[0].spec.allowed_regions: contradiction" in output
+    run(new, "--settings", settings, "--region", "coast")
+    run(new)
