--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -626,6 +626,8 @@
             )
             status = 504 if late else 502
             return messages.local_response(status, "it is not known whether it has run")
-        wanted_s = self.selector.return_after_s(pending)
+        wanted_s = max(
+            pending.retry_after_s, 0.5 * self.selector.expected_wait_s(pending)
+        )
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wanted_s))
         return messages.local_response(503, "the request has not run", retry_after_s)
--- a/src/wasabivalve/gateway/instance_selection.py
+++ b/src/wasabivalve/gateway/instance_selection.py
@@ -20,7 +20,6 @@
     messages,
     pending_request,
     pool,
-    return_times,
     waiting,
 )
 
@@ -171,15 +170,6 @@
             pending.route.rank, self._start_by(pending), self._loop.time()
         )
 
-    def return_after_s(self, pending: pending_request.PendingRequest) -> float:
-        """Return the time in s after which the caller of a refused request returns."""
-        wait_s = RETRY_WAIT_SHARE * self.expected_wait_s(pending)
-        expected_s = max(pending.retry_after_s, wait_s)
-        if not pending.lacks_capacity:
-            return expected_s
-        slack_s = self._start_by(pending) - self._loop.time()
-        return return_times.retry_after_s(expected_s, slack_s, self._generator)
-
     async def wait_for_instance(
         self, pending: pending_request.PendingRequest
     ) -> Selection | None:
@@ -192,7 +182,6 @@
             if isinstance(answer, Selection):
                 return answer
             if isinstance(answer, slot_client.SlotRefused):
-                pending.lacks_capacity = True
                 pending.steps.append(f"no-slot expected={answer.wait_ms:.0f}ms")
                 pending.retry_after_s = RETRY_WAIT_SHARE * answer.wait_ms / 1000.0
                 return None
@@ -233,7 +222,6 @@
                 expected_s + MIN_SERVICE_TIME_SHARE * service_time_s
                 > pending.deadline_at - now
             ):
-                pending.lacks_capacity = True
                 pending.steps.append(f"hopeless expected={expected_s:.2f}s")
                 return None
             waiter = queue.add(pending.route.rank, start_by, now)
--- a/src/wasabivalve/gateway/pending_request.py
+++ b/src/wasabivalve/gateway/pending_request.py
@@ -31,8 +31,7 @@
     ``admitting_holder`` is the one whose share was taken for it.
     ``refusing_instance`` refused the request last; if it holds the request's key, it is
     not asked again before ``refusing_until``. ``trial`` is set if the request may run
-    although it is quarantined. ``lacks_capacity`` is set if it is refused as
-    others use the capacity. ``steps`` become the log field ``trail``.
+    although it is quarantined. ``steps`` become the log field ``trail``.
     """
 
     def __init__(
@@ -65,7 +64,6 @@
         self.attempts_forbidden = False
         self.trial: ClaimedTrial | None = None
         self.retry_after_s = 0.0
-        self.lacks_capacity = False
         self.last_error_response: messages.HttpResponse | None = None
         self.steps: list[str] = []
 
--- a/src/wasabivalve/slot_dispatch/core.py
+++ b/src/wasabivalve/slot_dispatch/core.py
@@ -27,13 +27,6 @@
 Nine in ten requests take less.
 """
 
-QUEUE_TIME_FACTOR = 2.5
-"""Multiple of the expected service time that must be left after a wait in the queue.
-
-Under overload all requests wait as long as they may, and the slot that is free then is
-often that of a slow instance. With 1.5, half of those that had waited were late.
-"""
-
 MAX_WAIT_HINT_MS = 2_000.0
 """Longest wait that a refusal reports."""
 
@@ -179,7 +172,7 @@
         queued = slot_queue.QueuedRequest(
             request,
             work_ms,
-            target_at - QUEUE_TIME_FACTOR * work_ms,
+            target_at - ON_TIME_FACTOR * work_ms,
             target_at,
             now + min(request.max_wait_ms, request.time_left_ms),
         )
