Wait for late replies of a dispatcher on a slow link

Cause: on a VM with a link of 5 Mbit/s, replies wait behind large responses. Change: a VM waits as long as replies have taken of late, by the retransmission timeout of TCP, between the times in use so far and 0.3 s.

--- a/src/wasabivalve/slot_dispatch/client.py
+++ b/src/wasabivalve/slot_dispatch/client.py
@@ -12,10 +12,10 @@
 from wasabivalve import events
 from wasabivalve.placement import eligibility
 
-from . import messages
+from . import messages, reply_times
 
 REPLY_TIMEOUT_S = 0.08
-"""Time to wait for a reply; a machine without processor time pauses for less."""
+"""Least time to wait for a reply; a machine without processor time pauses for less."""
 
 REMOTE_REPLY_TIMEOUT_S = 0.2
 """Time to wait for a reply from another region."""
@@ -135,6 +135,7 @@
         self._next_number = generator.getrandbits(NUMBER_BITS)
         self._replies_by_number: dict[int, asyncio.Queue[messages.SlotReply]] = {}
         self._suspicion_by_vm: dict[str, _Suspicion] = {}
+        self._reply_times = reply_times.ReplyTimes()
         self._held_by_dispatcher: dict[str, set[int]] = {}
         self._used_at_by_dispatcher: dict[str, float] = {}
 
@@ -195,12 +196,15 @@
     ) -> messages.SlotReply | None:
         """Send a request until a reply settles it; return None for silence."""
         is_near = may_go_elsewhere and self._regions_to_ask(demand)[0] == self._region
-        timeout_s = REPLY_TIMEOUT_S if is_near else REMOTE_REPLY_TIMEOUT_S
+        timeout_s = self._reply_times.timeout_s(
+            REPLY_TIMEOUT_S if is_near else REMOTE_REPLY_TIMEOUT_S
+        )
         self._used_at_by_dispatcher[dispatcher] = self._loop.time()
         unanswered = 0
         give_up_at = self._give_up_at(demand, started_at)
         while unanswered < MAX_SENDS and self._loop.time() < give_up_at:
             waited_ms = SECOND_MS * (self._loop.time() - started_at)
+            self._reply_times.on_sent(number, self._loop.time())
             self._send(
                 dispatcher,
                 messages.SlotRequest(
@@ -278,6 +282,7 @@
 
     def on_reply(self, reply: messages.SlotReply) -> None:
         """Settle the request that a reply answers; give back slots of no request."""
+        self._reply_times.on_reply(reply.number, self._loop.time())
         replies = self._replies_by_number.get(reply.number)
         if replies is not None:
             replies.put_nowait(reply)
