--- a/src/wasabivalve/gateway/response_sender.py
+++ b/src/wasabivalve/gateway/response_sender.py
@@ -8,6 +8,7 @@
 from wasabivalve.desired_state import core as desired_state
 
 from . import (
+    memory_account,
     messages,
     receiving,
     response_order,
@@ -18,9 +19,6 @@
 MEMORY_SHORT_SHARE = 0.5
 """Use of the receive buffers above which only responses that need not wait begin."""
 
-HEADER_OVERHEAD_BYTES = 200
-"""Memory that a header takes in addition to its name and value."""
-
 
 class RequestHandler(Protocol):
     """Handle requests of any connection."""
@@ -61,8 +59,7 @@
 def _memory_bytes(response: messages.HttpResponse) -> int:
     """Return about how much memory a response takes."""
     header_bytes = sum(
-        len(name) + len(value) + HEADER_OVERHEAD_BYTES
-        for name, value in response.headers
+        memory_account.field_cost(name, value) for name, value in response.headers
     )
     return len(response.body) + header_bytes
 
