--- a/src/wasabivalve/desired_state/core.py
+++ b/src/wasabivalve/desired_state/core.py
@@ -15,7 +15,8 @@
     """Describe how requests below one path prefix of a host are handled.
 
     ``rank`` 0 is the most urgent; ``idempotent`` requests may run more than once.
-    Only instances in ``allowed_regions`` may serve them; empty allows all regions.
+    Only instances in ``allowed_regions`` may serve them; empty allows all regions. One
+    that ``has_large_responses`` must leave room for others on slow links.
     """
 
     name: str
@@ -28,6 +29,7 @@
     target_latency_ms: float
     rank: int
     allowed_regions: frozenset[str] = frozenset()
+    has_large_responses: bool = False
 
 
 class ServiceConfig(NamedTuple):
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -316,7 +316,9 @@
         running_attempts: set[asyncio.Task[messages.HttpResponse | None]] = set()
         hedge_delay_s: float | None = None
         wait_deadline_at = self.selector.wait_deadline_at(pending)
-        if not await self._transfers.wait_for_bandwidth(pending, wait_deadline_at):
+        if not await self._transfers.wait_for_bandwidth(
+            pending, wait_deadline_at, self.selector.eligible.refuses
+        ):
             return self._failure_response(pending)
         try:
             while True:
@@ -359,6 +361,8 @@
                 if not done:
                     hedge_delay_s = self._start_hedge(pending, running_attempts)
         finally:
+            if not pending.attempts:
+                self._transfers.on_refused(pending)
             for attempt in running_attempts:
                 sending.give_up(attempt)
             assert self._loop is not None
--- a/src/wasabivalve/gateway/eligible_instances.py
+++ b/src/wasabivalve/gateway/eligible_instances.py
@@ -39,12 +39,13 @@
         self._find_holder = find_holder
         self._is_evacuated = is_evacuated
         self._metrics = metrics
-        self._regions_by_route: dict[str, frozenset[str]] = {}
+        self._regions_by_prefix: dict[tuple[str, str], frozenset[str]] = {}
 
     def set_desired_state(self, state: desired_state.DesiredState) -> None:
         """Apply the regions of routes from now on."""
-        self._regions_by_route = {
-            route.name: route.allowed_regions for route in state.routes
+        self._regions_by_prefix = {
+            (route.host, route.path_prefix): route.allowed_regions
+            for route in state.routes
         }
 
     def allowed_regions(
@@ -52,7 +53,8 @@
     ) -> frozenset[str]:
         """Return the regions in which a request may be served now; empty for all."""
         route = pending.route
-        return self._regions_by_route.get(route.name, route.allowed_regions)
+        prefix = route.host, route.path_prefix
+        return self._regions_by_prefix.get(prefix, route.allowed_regions)
 
     def may_serve(
         self,
--- a/src/wasabivalve/gateway/instance_selection.py
+++ b/src/wasabivalve/gateway/instance_selection.py
@@ -315,6 +315,7 @@
                         holder.data_centre, self._topology.region_by_data_centre
                     ),
                     self.eligible.allowed_regions(pending),
+                    route.has_large_responses,
                 )
             )
             if not isinstance(answer, slot_client.SlotGranted):
@@ -545,7 +546,7 @@
             route_name,
             sample_ms / load.service_time_ratio,
         )
-        exchange_kb = (len(response.body) + len(pending.request.body)) / 1000.0
+        exchange_kb = (response.body_bytes + len(pending.request.body)) / 1000.0
         _update_average(self._exchange_kb_by_route, route_name, exchange_kb)
         return SlotUse(
             slot_messages.SlotResult.DONE,
--- a/src/wasabivalve/gateway/messages.py
+++ b/src/wasabivalve/gateway/messages.py
@@ -141,6 +141,13 @@
     close_delimited: bool = False
     stream: response_stream.ResponseStream | None = None
 
+    @property
+    def body_bytes(self) -> int:
+        """Return the size of the body; the least one if it comes in chunks."""
+        if self.stream is None:
+            return len(self.body)
+        return self.stream.body_bytes or response_stream.STREAM_FROM_BYTES
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
         for header_name, value in self.headers:
--- a/src/wasabivalve/gateway/tests/test_allowed_regions.py
+++ b/src/wasabivalve/gateway/tests/test_allowed_regions.py
@@ -137,3 +137,19 @@
         assert status == 200 and not near.requests
 
     run_scenario(scenario, [], [gateway_harness.OK], timeout_ms=4_000.0)
+
+
+def test_routes_of_one_name_keep_their_own_regions():
+    """A route without regions opened those of another route with its name."""
+
+    async def scenario(harness, near, far):
+        safe, unsafe = harness.state.routes
+        routes = (
+            safe._replace(name="r", allowed_regions=WEST),
+            unsafe._replace(name="r"),
+        )
+        harness.gateway.set_desired_state(harness.state._replace(routes=routes))
+        assert (await harness.send_request())[0] == 200
+        assert (len(near.requests), len(far.requests)) == (0, 1)
+
+    run_scenario(scenario, [], [gateway_harness.OK])
--- a/src/wasabivalve/gateway/transfer_admission.py
+++ b/src/wasabivalve/gateway/transfer_admission.py
@@ -8,6 +8,12 @@
 
 from . import pending_request
 
+MAX_WAIT_SHARE = 0.5
+"""Share of the time that a request may wait which it may spend on this.
+
+The rest is left for a slot.
+"""
+
 
 class TransferAdmission:
     """Delay or refuse requests whose responses are large.
@@ -26,13 +32,24 @@
         self._metrics = metrics
 
     async def wait_for_bandwidth(
-        self, pending: pending_request.PendingRequest, wait_deadline_at: float
+        self,
+        pending: pending_request.PendingRequest,
+        wait_deadline_at: float,
+        refuses: Callable[[pending_request.PendingRequest], bool] = lambda _: False,
     ) -> bool:
-        """Wait until a response may begin; return False to refuse the request."""
+        """Wait until a response may begin; return False to refuse the request.
+
+        ``refuses`` returns whether no instance may serve it, so that no wait helps.
+        """
+        if not pending.route.has_large_responses:
+            return True
+        if refuses(pending):
+            return False
         now = asyncio.get_running_loop().time()
+        kilobytes = self._exchange_kb(pending.route.name)
         wait_ms = self._schedule.reserve(
-            self._exchange_kb(pending.route.name),
-            1000.0 * (wait_deadline_at - now),
+            kilobytes,
+            MAX_WAIT_SHARE * 1000.0 * (wait_deadline_at - now),
             1000.0 * now,
         )
         if wait_ms is None:
@@ -43,5 +60,16 @@
             return False
         if wait_ms > 0.0:
             self._metrics.count("transfer.delayed")
-            await asyncio.sleep(wait_ms / 1000.0)
+            try:
+                await asyncio.sleep(wait_ms / 1000.0)
+            except asyncio.CancelledError:
+                self._schedule.give_back(kilobytes, 1000.0 * now)
+                raise
         return True
+
+    def on_refused(self, pending: pending_request.PendingRequest) -> None:
+        """Give back the room of a request that no instance got."""
+        if pending.route.has_large_responses:
+            now = asyncio.get_running_loop().time()
+            kilobytes = self._exchange_kb(pending.route.name)
+            self._schedule.give_back(kilobytes, 1000.0 * now)
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -257,7 +257,12 @@
                 lease, self._era_noticed_at_ms, self._lease_duration_ms
             )
         ]
-        are_proven = len(proven_leases) == len(self._table.leases)
+        # Without ranges, a lost first plan of another VM may have given out the keys.
+        ranges_by_service = self._writer.assignment_map.ranges_by_service
+        are_proven = len(proven_leases) == len(self._table.leases) and all(
+            ranges_by_service.get(service)
+            for service in self._dependencies.partitioned_services()
+        )
         proof_due_ms = self._era_noticed_at_ms + held_grants.PROOF_TIMEOUT_MS
         if now_ms < self._claim_again_due_ms or (
             not are_proven and now_ms < proof_due_ms
--- a/src/wasabivalve/placement/bandwidth.py
+++ b/src/wasabivalve/placement/bandwidth.py
@@ -39,6 +39,12 @@
         self._free_at = start_at + kilobytes * self._ms_per_kb
         return start_at - now
 
+    def give_back(self, kilobytes: float, now: float) -> None:
+        """Give back the room of a transfer that does not take place."""
+        if kilobytes >= LARGE_TRANSFER_KB:
+            free_at = self._free_at - kilobytes * self._ms_per_kb
+            self._free_at = max(min(now, self._free_at), free_at)
+
     def wait_ms(self, now: float) -> float:
         """Return the time until the next large transfer may start."""
         return max(0.0, self._free_at - now)
--- a/src/wasabivalve/placement/directory.py
+++ b/src/wasabivalve/placement/directory.py
@@ -95,19 +95,22 @@
         if self._recovered_at is None or recovered_at > self._recovered_at:
             self._recovered_at = recovered_at
 
-    def on_entry(self, instance: core.RegisteredInstance) -> None:
-        """Apply a registry entry unless it is older than the stored version."""
+    def on_entry(self, instance: core.RegisteredInstance) -> bool:
+        """Apply a registry entry unless it is older than the stored version.
+
+        Return whether it cancels a removal that was deferred.
+        """
         stored = self._version_by_id.get(
             instance.id, self._removed_version_by_id.get(instance.id)
         )
         version = _EntryVersion(instance.born, instance.sequence)
         if stored is not None and version < stored:
-            return
+            return False
         if stored == version and instance.id not in self.instance_by_id:
-            return
+            return False
         self._version_by_id[instance.id] = version
         self._removed_version_by_id.pop(instance.id, None)
-        self._removal_due_by_id.pop(instance.id, None)
+        removal_due = self._removal_due_by_id.pop(instance.id, None)
         before = self.instance_by_id.get(instance.id)
         self.instance_by_id[instance.id] = instance
         if (
@@ -120,6 +123,7 @@
             != instance
         ):
             self._on_change(before, instance)
+        return removal_due is not None
 
     def on_removed(self, instance_id: str, now: float) -> None:
         """Remove an instance, at once or after the grace period of an outage."""
--- a/src/wasabivalve/placement/evacuation.py
+++ b/src/wasabivalve/placement/evacuation.py
@@ -12,6 +12,7 @@
 
     def __init__(self) -> None:
         self._data_centres: frozenset[str] = frozenset()
+        self._unconfirmed: frozenset[str] | None = None
 
     @property
     def data_centres(self) -> frozenset[str]:
@@ -25,6 +26,7 @@
     def on_record(self, data_centre: str, is_evacuated: bool) -> bool:
         """Begin or end the evacuation of a data centre; return whether it changes."""
         changed = self._data_centres ^ {data_centre}
+        self._confirm({data_centre})
         if is_evacuated == self.is_evacuated(data_centre):
             return False
         self._data_centres = changed
@@ -36,6 +38,31 @@
         The record that ended one may be deleted, so that its absence ends it.
         """
         listed = frozenset(data_centres)
+        self._confirm(listed)
+        listed |= self._unconfirmed or frozenset()
         changed = listed ^ self._data_centres
         self._data_centres = listed
         return changed
+
+    @property
+    def awaits_records(self) -> bool:
+        """Return whether records of evacuations may still be written again."""
+        return self._unconfirmed is not None
+
+    def on_store_restored(self) -> None:
+        """Keep all evacuations although listings may lack them.
+
+        The store may have lost their records, and the operator writes them again.
+        """
+        self._unconfirmed = self._data_centres
+
+    def end_wait(self) -> frozenset[str]:
+        """End those whose records were not written again, and return them."""
+        ended = self._unconfirmed or frozenset()
+        self._unconfirmed = None
+        self._data_centres -= ended
+        return ended
+
+    def _confirm(self, data_centres: Iterable[str]) -> None:
+        if self._unconfirmed is not None:
+            self._unconfirmed -= frozenset(data_centres)
--- a/src/wasabivalve/placement/tests/test_bandwidth.py
+++ b/src/wasabivalve/placement/tests/test_bandwidth.py
@@ -60,3 +60,13 @@
     assert [schedule.reserve(5.0, 0.0, 0.0) for _ in range(50)] == [0.0] * 50
     unknown = bandwidth.BandwidthSchedule(0.0)
     assert [unknown.reserve(500.0, 0.0, 0.0) for _ in range(50)] == [0.0] * 50
+
+
+def test_room_of_a_request_that_no_instance_got_is_given_back():
+    """Refused requests filled a link over which nothing went."""
+    schedule = bandwidth.BandwidthSchedule(LINK_MBPS)
+    for _ in range(20):
+        assert schedule.reserve(TYPICAL_KB, 0.0, 0.0) == 0.0
+        schedule.give_back(TYPICAL_KB, 0.0)
+    schedule.reserve(TYPICAL_KB, 0.0, 0.0)
+    assert schedule.reserve(TYPICAL_KB, 0.0, 0.0) is None
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -444,6 +444,7 @@
         self._controller.close()
         self._dispatch_node.close()
         self._fact_sharing.close()
+        self._operator_records.close()
         self._gateway.close()
         self._exchange.close()
         self._copies.close()
@@ -590,8 +591,9 @@
             self._instance_directory.on_removed(record.key, self._now_ms())
         else:
             instance = self._decode_instance(record)
-            if instance is not None:
-                self._instance_directory.on_entry(instance)
+            if instance is not None and self._instance_directory.on_entry(instance):
+                # The other VMs may be about to remove it as well.
+                self._record_has_effect = True
         if self._record_has_effect:
             self._effective_offsets.add(record.offset)
 
@@ -631,6 +633,7 @@
         self._effective_offsets.clear()
         self._controller.on_new_era()
         self._fact_sharing.on_new_era()
+        self._operator_records.on_new_era()
         self._group_member.on_new_era()
         for follower in self._exchange.follower_by_topic.values():
             follower.start_anew()
--- a/src/wasabivalve/platform/desired_state.py
+++ b/src/wasabivalve/platform/desired_state.py
@@ -10,6 +10,11 @@
 ROUTES_KIND = "routes"
 SERVICES_KIND = "services"
 LIMITS_KIND = "limits"
+SAFE = "safe"
+DOWNLOAD = "download"
+"""Kinds of routes whose requests may run more than once; responses of the latter are
+large."""
+
 KINDS = (ROUTES_KIND, SERVICES_KIND, LIMITS_KIND)
 
 Decoded = TypeVar("Decoded")
@@ -213,12 +218,13 @@
         host=reader.read_field(spec, "host", str, path, "").lower(),
         path_prefix=path_prefix,
         weighted_services=_decode_weighted_services(reader, spec, path),
-        idempotent=kind in ("safe", "download"),
+        idempotent=kind in (SAFE, DOWNLOAD),
         max_attempts=max(1, int(reader.read_number(spec, "max_attempts", path))),
         timeout_ms=1000.0 * reader.read_number(spec, "timeout_s", path),
         target_latency_ms=1000.0 * reader.read_number(spec, "target_latency_s", path),
         rank=int(reader.read_number(spec, "priority", path)),
         allowed_regions=_decode_allowed_regions(reader, spec, path),
+        has_large_responses=kind == DOWNLOAD,
     )
 
 
--- a/src/wasabivalve/platform/desired_state_check.py
+++ b/src/wasabivalve/platform/desired_state_check.py
@@ -21,6 +21,7 @@
     "target_latency_ms": "spec.target_latency_s",
     "rank": "spec.priority",
     "allowed_regions": "spec.allowed_regions",
+    "has_large_responses": "spec.kind",
     "max_connections": "spec.max_connections",
     "partitioned": "spec.sharded",
     "health_path": "spec.health_path",
--- a/src/wasabivalve/platform/operator_records.py
+++ b/src/wasabivalve/platform/operator_records.py
@@ -1,5 +1,6 @@
 """Read what the operator writes: desired states and evacuations of data centres."""
 
+import asyncio
 from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
@@ -15,6 +16,13 @@
 DESIRED_STATE_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 
+RECORDS_WAIT_S = 10.0
+"""Time after a restore of the store for which an evacuation needs no record.
+
+The operator writes what was lost again; ending an evacuation too late costs capacity,
+ending it too early sends requests to instances that are about to lose power.
+"""
+
 
 class OperatorRecords:
     """Hold the newest desired state and the evacuated data centres.
@@ -33,11 +41,31 @@
         self._put_copy = put_copy
         self._on_desired_state = on_desired_state
         self._on_evacuations = on_evacuations
+        self._wait: asyncio.TimerHandle | None = None
 
     def removable_keys(self) -> list[str]:
         """Return the known keys whose absence from a listing has an effect."""
+        if self.evacuated.awaits_records:
+            return []
         return [f"{EVACUATION_PREFIX}{name}" for name in self.evacuated.data_centres]
 
+    def on_new_era(self) -> None:
+        """Keep evacuations until their records may have been written again."""
+        self.evacuated.on_store_restored()
+        if self._wait is not None:
+            self._wait.cancel()
+        self._wait = asyncio.get_running_loop().call_later(
+            RECORDS_WAIT_S, self._end_wait
+        )
+
+    def close(self) -> None:
+        """Cancel the wait for records."""
+        if self._wait is not None:
+            self._wait.cancel()
+
+    def _end_wait(self) -> None:
+        self._report_evacuations(self.evacuated.end_wait())
+
     def on_listing(self, records: Sequence[keyed_log.Record]) -> None:
         """Apply the newest record of each key; evacuations without one end."""
         evacuations = [
--- a/src/wasabivalve/quarantine/resets.py
+++ b/src/wasabivalve/quarantine/resets.py
@@ -71,6 +71,8 @@
         self._resets = self._resets[len(decided) :]
         survived = [reset for reset in decided if is_registered(reset)]
         for reset in survived:
+            if not reset.may_be_full:
+                continue
             known_until = reset.reset_at + FULL_RESETS_TTL_MS
             self._known_until_by_service[reset.service] = known_until
         return survived
--- a/src/wasabivalve/quarantine/tests/test_resets.py
+++ b/src/wasabivalve/quarantine/tests/test_resets.py
@@ -46,3 +46,13 @@
     assert shared.withdraw_ends("f", name, 101.0, 5_200.0) == 1
     boards[1].receive(boards[0].take_unpublished(5_200.0), 5_200.0)
     assert shared.left_ms("f", 5_200.0) == other.left_ms("f", 5_200.0) == 0.0
+
+
+def test_reset_by_an_instance_with_free_slots_says_nothing_of_its_service():
+    """The reset of an idle connection hid the crashes of a service for minutes."""
+    known = quarantine.InstanceResets()
+    assert not known.on_reset("desk", "i-1", 1, False, 0.0)
+    later = 1.0 + resets.SURVIVAL_MS
+    (survived,) = known.take_survived(lambda reset: True, later)
+    assert survived.instance == "i-1"
+    assert not known.on_reset("desk", "i-2", 1, True, later + 1.0)
--- a/src/wasabivalve/shared_facts/instance_paces.py
+++ b/src/wasabivalve/shared_facts/instance_paces.py
@@ -25,7 +25,8 @@
         if known_until is not None and now + left_ms < known_until + MIN_EXTENSION_MS:
             return False
         subject = instance_limits.incarnation_name(instance, born)
-        self._board.observe(core.FactKind.COLD, subject, "", left_ms, now)
+        # An equal time that is left again is news, as it begins later.
+        self._board.observe(core.FactKind.COLD, subject, "", left_ms, now, now)
         return True
 
     def cold_until(self, instance: str, born: int, now: float) -> float | None:
--- a/src/wasabivalve/slot_dispatch/client.py
+++ b/src/wasabivalve/slot_dispatch/client.py
@@ -69,6 +69,7 @@
     only: str = ""
     region: str = ""
     allowed_regions: frozenset[str] = frozenset()
+    has_large_response: bool = False
 
 
 class SlotGranted(NamedTuple):
@@ -201,10 +202,10 @@
         )
         self._used_at_by_dispatcher[dispatcher] = self._loop.time()
         unanswered = 0
+        self._reply_times.on_sent(number, self._loop.time())
         give_up_at = self._give_up_at(demand, started_at)
         while unanswered < MAX_SENDS and self._loop.time() < give_up_at:
             waited_ms = SECOND_MS * (self._loop.time() - started_at)
-            self._reply_times.on_sent(number, self._loop.time())
             self._send(
                 dispatcher,
                 messages.SlotRequest(
@@ -222,6 +223,7 @@
                     may_go_elsewhere,
                     demand.only,
                     sorted(demand.allowed_regions),
+                    demand.has_large_response,
                 ),
             )
             unanswered += 1
--- a/src/wasabivalve/slot_dispatch/core.py
+++ b/src/wasabivalve/slot_dispatch/core.py
@@ -450,7 +450,7 @@
         """
         request = queued.request
         kilobytes = self._exchange_kb_by_route.get(request.route, INITIAL_EXCHANGE_KB)
-        if kilobytes < bandwidth.LARGE_TRANSFER_KB:
+        if not request.has_large_response or kilobytes < bandwidth.LARGE_TRANSFER_KB:
             return False
         transfer_ms = placement.transfer_cost_ms(
             OTHER_REGION_DISTANCE, request.target_latency_ms, kilobytes
--- a/src/wasabivalve/slot_dispatch/messages.py
+++ b/src/wasabivalve/slot_dispatch/messages.py
@@ -48,7 +48,8 @@
     ``target_left_ms`` is the time until the target latency, ``max_wait_ms`` the longest
     time in the queue, ``time_left_ms`` the time until the request fails. ``only`` names
     the holder of the request's key, which no other instance can replace. Only instances
-    in ``allowed_regions`` may serve the request; empty allows all regions.
+    in ``allowed_regions`` may serve the request; empty allows all regions. One that
+    ``has_large_response`` stays in its region while it can be on time there.
     """
 
     vm: str
@@ -65,6 +66,7 @@
     may_go_elsewhere: bool
     only: str = ""
     allowed_regions: list[str] = []
+    has_large_response: bool = False
 
 
 class SlotReply(msgspec.Struct, array_like=True, frozen=True, tag="sr"):
--- a/src/wasabivalve/slot_dispatch/tests/test_dispatcher.py
+++ b/src/wasabivalve/slot_dispatch/tests/test_dispatcher.py
@@ -357,7 +357,11 @@
 def test_large_response_waits_for_a_slot_of_its_region():
     """Large responses filled the link between regions although slots were free soon."""
     dispatcher = create_dispatcher(instance("i-1"))
-    slow_target = {"target_latency_ms": 3_000.0, "target_left_ms": 3_000.0}
+    slow_target = {
+        "target_latency_ms": 3_000.0,
+        "target_left_ms": 3_000.0,
+        "has_large_response": True,
+    }
     for number in (1, 2):
         dispatcher.on_request(request(number, **slow_target), 0.0)
     dispatcher.on_release(release(1, kilobytes=90.0), 100.0)
@@ -365,5 +369,5 @@
     dispatcher.on_free_slots(messages.FreeSlots("vm-9", "b", {"desk": 9}), 100.0)
     waiting = request(4, max_wait_ms=1_800.0, **slow_target)
     assert states(dispatcher.on_request(waiting, 100.0)) == ["queued"]
-    late = request(5, max_wait_ms=1_800.0, target_latency_ms=3_000.0, target_left_ms=0)
+    late = request(5, max_wait_ms=1_800.0, **{**slow_target, "target_left_ms": 0.0})
     assert states(dispatcher.on_request(late, 100.0)) == ["elsewhere"]
