End the requests of a connection whose caller closes its side

Cause, found by a reviewer who did not write the part: while a response waited for a caller that had closed its sending side, the next request was forwarded when the rest was written; the caller sends it again, so that an unsafe one ran twice. Other requests went on at their instances. A caller that reads was reset for bytes of the last moment, and streams that callers held up ejected healthy instances. Change: only the response that is being sent goes on, a stream only while it moves within 0.5 s; the watch compares what was read; a stream that was paused blames no instance. Measured: test_caller_that_closes_its_side_starts_no_further_request failed before (u was forwarded) and passes; pytest of the gateway's tests of connections and streams.

--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -169,8 +169,10 @@
     def eof_received(self) -> bool:
         """Close, after a response that is being written.
 
-        A caller that closed its side of the connection reads no other response.
+        A caller that closed its side of the connection reads no other response, and
+        may have left: the work on all other requests ends.
         """
+        self._responses.end_requests()
         if not self._responses.is_sending:
             return False
         self.close()
--- a/src/wasabivalve/gateway/response_order.py
+++ b/src/wasabivalve/gateway/response_order.py
@@ -153,6 +153,12 @@
             self._early_bytes -= len(turn.response.body)
         return turn
 
+    def drop_behind_first(self) -> list[Turn]:
+        """Remove and return all requests but the first one."""
+        first, *dropped = self._turns
+        self._turns = deque([first])
+        return dropped
+
     def drop_all(self) -> list[Turn]:
         """Remove and return all requests, as the connection closes before them."""
         turns = list(self._turns)
--- a/src/wasabivalve/gateway/response_sender.py
+++ b/src/wasabivalve/gateway/response_sender.py
@@ -20,6 +20,13 @@
 """Use of the receive buffers above which only responses that need not wait begin."""
 
 
+STALL_TIMEOUT_S = 0.5
+"""Time without a byte after which a stream to a half-closed connection is reset.
+
+A caller that has left and one that has only closed its side look the same.
+"""
+
+
 class RequestHandler(Protocol):
     """Handle requests of any connection."""
 
@@ -81,9 +88,10 @@
             server.buffers,
             lambda: server.limits().idle_timeout_ms / 1000.0,
         )
-        self._streaming = False
+        self._stream_task: asyncio.Task[None] | None = None
         self._after_stream: Callable[[], None] | None = None
         self._closed = False
+        self._ending = False
         self._announced_idle_s: float | None = None
 
     @property
@@ -99,18 +107,18 @@
     @property
     def is_sending(self) -> bool:
         """Return whether a part of a response waits until the caller reads."""
-        return self._unread.is_sending or self._streaming
+        return self._unread.is_sending or self._stream_task is not None
 
     def when_written(self, action: Callable[[], None]) -> None:
         """Run an action when all that was begun is with the transport."""
-        if self._streaming:
+        if self._stream_task is not None:
             self._after_stream = action
         else:
             self._unread.when_written(action)
 
     def serve(self, request: messages.HttpRequest, held_bytes: int) -> None:
         """Answer a request; the memory account counts it with ``held_bytes``."""
-        if self._closed:
+        if self._closed or self._ending:
             return
         if self.busy:
             self._server.pipelining.count_event("request.pipelined")
@@ -124,7 +132,7 @@
 
     def refuse(self, response: messages.HttpResponse) -> None:
         """Send a last response after those to the requests in progress."""
-        if self._closed:
+        if self._closed or self._ending:
             return
         self._order.add_refusal(response)
         self._advance()
@@ -150,8 +158,40 @@
         for task in self._tasks:
             task.cancel()
 
+    def end_requests(self) -> None:
+        """End the work on all requests but the one whose response is being sent.
+
+        Nothing is begun any more: the caller sends again what was not answered.
+        """
+        self._ending = True
+        if self._stream_task is None:
+            dropped = self._order.drop_all()
+        else:
+            dropped = self._order.drop_behind_first()
+            self._watch_stream()
+        for turn in dropped:
+            self._release(turn)
+        for task in self._tasks:
+            if task is not self._stream_task:
+                task.cancel()
+
+    def _watch_stream(self) -> None:
+        handed_over_bytes = self._unread.handed_over_bytes
+        self._loop.call_later(STALL_TIMEOUT_S, self._check_stream, handed_over_bytes)
+
+    def _check_stream(self, bytes_before: int) -> None:
+        """Reset a connection whose stream stalls: its caller may have left."""
+        if self._closed or self._stream_task is None:
+            return
+        if self._unread.handed_over_bytes == bytes_before:
+            self._reader.abort()
+        else:
+            self._watch_stream()
+
     def _advance(self) -> None:
         """Write the responses whose turn it is and start the requests that may run."""
+        if self._ending:
+            return
         while self._writable.is_set() and not self._closed:
             turn = self._order.take_ready()
             if turn is None:
@@ -187,7 +227,7 @@
         try:
             response = await self._server.handle(turn.request)
         except BaseException:
-            if not self._closed:
+            if not (self._closed or self._ending):
                 # Without a response, those to later requests would be taken for it.
                 self._reader.abort()
             raise
@@ -214,7 +254,7 @@
         try:
             if self._closed:
                 return
-            self._streaming = True
+            self._stream_task = asyncio.current_task()
             stream.when_ended(self._on_stream_end)
             keep_open = self._write_head(turn, response, len(self._order) > 1)
             while (data := await stream.read()) is not None:
@@ -227,7 +267,7 @@
             self._order.remove_first(turn)
             self._release(turn)
         finally:
-            self._streaming = False
+            self._stream_task = None
             stream.abandon()
         if self._after_stream is not None:
             self._unread.when_written(self._after_stream)
--- a/src/wasabivalve/gateway/response_stream.py
+++ b/src/wasabivalve/gateway/response_stream.py
@@ -40,7 +40,8 @@
     """Hold the part of a body that was received and not yet passed on.
 
     ``body_bytes`` is the announced size of the body, or None if it comes in chunks.
-    ``end`` is set when nothing more will be received; ``reason`` says why it broke.
+    ``end`` is set when nothing more will be received; ``reason`` says why it broke, and
+    ``was_paused`` whether its caller has held it up.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.body_bytes = body_bytes
         self.end: StreamEnd | None = None
         self.reason = ""
+        self.was_paused = False
         self._buffers = buffers
         self._pause = pause
         self._resume = resume
@@ -71,7 +73,7 @@
         if self._buffers is not None:
             self._buffers.add_waiting(self, len(data))
         if self._unread_bytes >= MAX_UNREAD_BYTES and not self._paused:
-            self._paused = True
+            self._paused = self.was_paused = True
             self._pause()
         self._changed.set()
 
--- a/src/wasabivalve/gateway/sending.py
+++ b/src/wasabivalve/gateway/sending.py
@@ -244,8 +244,9 @@
                     instance=load.instance.id,
                     reason=stream.reason,
                 )
-                load.on_failure(1000.0 * loop.time(), connected=True)
-                self._pool.close_idle(load.instance)
+                if not stream.was_paused:
+                    load.on_failure(1000.0 * loop.time(), connected=True)
+                    self._pool.close_idle(load.instance)
             self._selector.on_attempt_end(pending)
 
         stream.when_ended(on_end)
--- a/src/wasabivalve/gateway/tests/test_pipelining.py
+++ b/src/wasabivalve/gateway/tests/test_pipelining.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -335,3 +336,49 @@
         assert "r3" not in upstream.requests
 
     run_scenario(scenario, timeout_ms=300.0)
+
+
+def test_caller_that_closes_its_side_starts_no_further_request():
+    """An unsafe request was forwarded while the connection closed, and sent again.
+
+    Small buffers keep the response before it from being sent at once.
+    """
+    size = 300_000
+    large = OK_HEAD + b"content-length: %d\r\n\r\n" % size + b"x" * size
+    large = large.replace(b"200 OK", b"404 No")
+
+    async def main():
+        upstream = HoldingUpstream()
+        harness = gateway_harness.GatewayHarness(upstream, timeout_ms=8_000.0)
+        async with harness:
+            listener = harness.gateway._server.sockets[0]
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32_768)
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(caller, ("127.0.0.1", harness.port))
+            paths = {"a": "/safe/x", "b": "/safe/x", "u": "/unsafe/x"}
+            requests = [
+                f"GET {path} HTTP/1.1\r\nhost: h\r\nrequest-id: {name}\r\n\r\n"
+                for name, path in paths.items()
+            ]
+            await loop.sock_sendall(caller, "".join(requests).encode())
+            while len(upstream.requests) < 2:
+                await asyncio.sleep(0.01)
+            upstream.respond("b", response=large)
+            while harness.gateway.buffers.total_bytes < size:
+                await asyncio.sleep(0.01)
+            upstream.respond("a")
+            (connection,) = harness.gateway._connections
+            while not connection._responses.is_sending:
+                await asyncio.sleep(0.01)
+            caller.shutdown(socket.SHUT_WR)
+            received = 0
+            while data := await loop.sock_recv(caller, 4_096):
+                received += len(data)
+            assert received > size
+            assert sorted(upstream.requests) == ["a", "b"]
+            caller.close()
+
+    asyncio.run(asyncio.wait_for(main(), 20.0))
--- a/src/wasabivalve/gateway/tests/test_unread_responses.py
+++ b/src/wasabivalve/gateway/tests/test_unread_responses.py
@@ -129,3 +129,56 @@
             body.append(0)
 
     asyncio.run(play())
+
+
+class ReadingTransport:
+    """Hold what was written until the caller reads it."""
+
+    def __init__(self):
+        self.unread_bytes = 0
+        self.is_reset = False
+
+    def write(self, data):
+        """Hold bytes."""
+        self.unread_bytes += len(data)
+
+    def get_write_buffer_size(self):
+        """Return the bytes that were not read."""
+        return self.unread_bytes
+
+    def is_closing(self):
+        """Return whether the connection was reset."""
+        return self.is_reset
+
+    def get_extra_info(self, name):
+        """Return None, as there is no socket."""
+
+    def abort(self):
+        """Reset the connection."""
+        self.is_reset = True
+
+
+class OneTimer:
+    """Run the newest timer by hand."""
+
+    def call_later(self, delay_s, action, *arguments):
+        """Hold a timer."""
+        self.run = lambda: action(*arguments)
+        return self
+
+
+def test_caller_that_reads_is_not_reset_for_what_was_just_written():
+    """Callers that kept their connection were reset for bytes of the last moment."""
+    timer, transport = OneTimer(), ReadingTransport()
+    buffers = memory_account.ReceiveBuffers(1_000_000)
+    unread = unread_responses.UnreadResponses(timer, buffers, lambda: 15.0)
+    unread.start(transport)
+    for _ in range(3):
+        unread.write(b"h", b"x" * 5_000)
+        transport.unread_bytes = 0
+    unread.write(b"h", b"x" * 60_000)
+    timer.run()
+    assert not transport.is_reset
+    # Nothing is read from now on.
+    timer.run()
+    assert transport.is_reset
--- a/src/wasabivalve/gateway/unread_responses.py
+++ b/src/wasabivalve/gateway/unread_responses.py
@@ -15,7 +15,7 @@
     """Write responses, count what is unread, and reset when nothing is read in time.
 
     A reset keeps a response whose end is the end of its connection from looking
-    complete.
+    complete. ``handed_over_bytes`` counts all that was to be written so far.
     """
 
     def __init__(
@@ -30,6 +30,7 @@
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._rest = memoryview(b"")
+        self.handed_over_bytes = 0
         self._paused = False
         self._when_written: Callable[[], None] | None = None
 
@@ -51,6 +52,7 @@
         """Write bytes; what the caller does not read yet of the body is not copied."""
         if self._transport is None or self._transport.is_closing():
             return
+        self.handed_over_bytes += len(head) + len(body)
         if self._rest:
             # Only a refusal behind an unread response gets here.
             self._rest = memoryview(b"".join((self._rest, head, body)))
@@ -89,13 +91,13 @@
         self._update()
         if self._when_written is not None and not self._rest:
             action, self._when_written = self._when_written, None
-            action()
+            # The transport may be about to close, and must finish this call first.
+            self._loop.call_soon(action)
 
     def _update(self) -> None:
         self._buffers.set_unwritten(self, self.held_bytes())
-        unwritten_bytes = self.unwritten_bytes()
-        if unwritten_bytes and self._timer is None:
-            self._watch(unwritten_bytes)
+        if self._timer is None and self.unwritten_bytes():
+            self._watch()
 
     def stop(self) -> None:
         """End the watch; the connection is closed."""
@@ -122,17 +124,21 @@
         """Reset the connection, as the memory is needed."""
         self._reset("memory is short")
 
-    def _watch(self, unwritten_bytes: int) -> None:
+    def _read_bytes(self) -> int:
+        """Return how many bytes the caller has taken so far."""
+        return self.handed_over_bytes - self.unwritten_bytes()
+
+    def _watch(self) -> None:
         self._timer = self._loop.call_later(
-            self._timeout_s(), self._check, unwritten_bytes
+            self._timeout_s(), self._check, self._read_bytes()
         )
 
-    def _check(self, bytes_before: int) -> None:
+    def _check(self, read_bytes_before: int) -> None:
         self._timer = None
         unwritten_bytes = self.unwritten_bytes()
         self._buffers.set_unwritten(self, self.held_bytes())
-        if 0 < unwritten_bytes < bytes_before:
-            self._watch(unwritten_bytes)
+        if unwritten_bytes and self._read_bytes() > read_bytes_before:
+            self._watch()
         elif unwritten_bytes:
             self._reset("nothing was read in time")
 
