List instances without a look at each, and withdraw only evidence that refuses

Each waiting request lists the instances of its service several times for each look at their capacity; the reset of each request was evidence that its instance ended, which was told to all VMs and withdrawn five seconds later, and each of these woke waiting requests. Change: a listing looks only at instances that say they leave or are evacuated; evidence is withdrawn where it refuses a request; evidence of crashes wakes no waiting request.

--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -223,7 +223,9 @@
         """Apply facts that were learned from other VMs."""
         assert self._loop is not None
         self._crash_watch.on_news(facts, 1000.0 * self._loop.time())
-        self.selector.wake_waiting_requests()
+        if any(fact.kind != shared_facts.FactKind.CRASH for fact in facts):
+            # Evidence of crashes changes no capacity.
+            self.selector.wake_waiting_requests()
 
     async def handle(self, request: messages.HttpRequest) -> messages.HttpResponse:
         """Return the response to a request; cancelled when its caller disconnects."""
--- a/src/wasabivalve/platform/instance_views.py
+++ b/src/wasabivalve/platform/instance_views.py
@@ -69,10 +69,21 @@
                 self._ids_by_service.setdefault(instance.service, []).append(
                     instance.id
                 )
-        return [
-            self._with_notices(registered[instance_id])
+        instances = [
+            registered[instance_id]
             for instance_id in self._ids_by_service.get(service, [])
         ]
+        leaving_ids = self._leaving_instances.leaving_ids()
+        if not leaving_ids and not any(
+            map(self._is_evacuated, self._region_by_data_centre)
+        ):
+            return instances
+        return [
+            self._with_notices(instance)
+            if instance.id in leaving_ids or self._is_evacuated(instance.data_centre)
+            else instance
+            for instance in instances
+        ]
 
     def list_for_keys(self, service: str) -> list[placement.RegisteredInstance]:
         """Return the instances of a service; those that may hold no keys as leaving."""
--- a/src/wasabivalve/quarantine/shared.py
+++ b/src/wasabivalve/quarantine/shared.py
@@ -44,6 +44,9 @@
 The registry may name a restarted instance as it was before for a moment.
 """
 
+MIN_REFUSING_ENDS = 2
+"""Ended incarnations from which on a request may be refused."""
+
 CRASH = shared_facts.FactKind.CRASH
 
 
@@ -119,11 +122,16 @@
     ) -> int:
         """Withdraw the ends of an incarnation up to a time; return their number.
 
-        The registry still names the incarnation, which thus did not end then.
+        The registry still names the incarnation, which thus did not end then. A single
+        end refuses nothing, so that it is left to expire: each withdrawal is a message
+        to all VMs.
         """
+        ended = crash_evidence.read(self._board, fingerprint, now).ended
+        if len(ended) < MIN_REFUSING_ENDS:
+            return 0
         withdrawn = [
             run
-            for run in crash_evidence.read(self._board, fingerprint, now).ended
+            for run in ended
             if run.member.rstrip("+") == incarnation and run.ended_at <= before
         ]
         for run in withdrawn:
--- a/src/wasabivalve/shared_facts/core.py
+++ b/src/wasabivalve/shared_facts/core.py
@@ -188,6 +188,10 @@
         """Return whether any fact of a kind is known."""
         return bool(self._by_member_by_subject_by_kind[kind])
 
+    def subjects(self, kind: FactKind) -> Iterable[str]:
+        """Return the subjects of the known facts of a kind."""
+        return self._by_member_by_subject_by_kind[kind].keys()
+
     def has_subject(self, kind: FactKind, subject: str) -> bool:
         """Return whether any fact about a subject is known."""
         return subject in self._by_member_by_subject_by_kind[kind]
--- a/src/wasabivalve/shared_facts/instance_limits.py
+++ b/src/wasabivalve/shared_facts/instance_limits.py
@@ -74,3 +74,8 @@
 def incarnation_name(instance: str, born: int) -> str:
     """Return the name of an incarnation of an instance."""
     return f"{instance}@{born}"
+
+
+def instance_id(name: str) -> str:
+    """Return the instance of the name of an incarnation."""
+    return name.rpartition("@")[0]
