--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,8 +21,8 @@
 
 COPY_AGE_LIMIT_S = 9.0
 OVERLAP_S = 0.5
-CUT_S = 9.0
-"""How long the store is silent for the controller; the site has 9.0 for such."""
+CUT_S = 5.5
+"""How long the controller is cut off from the store; the site has 5.5 for core_cut."""
 
 
 async def ask(vm, request_id, key):
