Wait out a controller that the restored list of VMs lacks

Cause: a claim in a new era with "*" as its only predecessor, or whose listed predecessors had all yielded, waited for leases only (5.4 s). A VM that registered, claimed and moved keys within the lost seconds is in no restored list, so nobody had asked it; cut off from the store it renews for 12 s.

Change: a VM that a copy may lack (listed for less than 15 s when it was last elected, on a store that names its era) renews for 2 s after that election in place of 12 s, and a claim with "*" waits for these 2 s and a lease, 7.4 s, whoever yields. While "*" is among the predecessors no yield shortens the bound of other leases: the range of a silent holder could be assigned anew while the unknown controller renewed it. WV0306 says how many VMs are asked to yield, WV0308 how long grants wait once they have.

Why it works: a VM that was listed for 15 s is in each copy of that age and is asked; any other one sent its last confirmed join before the claim.

Tests: test_controller_missing_in_the_restored_list_of_vms_is_waited_out (two cases) and test_proven_range_of_a_silent_holder_is_not_reassigned_early failed before with two holders of a key and a range that was assigned anew. The registrations of test_membership.py get addresses that are IP addresses.

--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -36,6 +36,7 @@
     (305, "INFO", "previous key controller stopped granting leases"),
     (306, "WARNING", "grants wait, as the store may have lost who holds the keys"),
     (307, "INFO", "grants wait no longer; holders of keys are certain again"),
+    (308, "INFO", "all listed VMs have yielded; grants wait for VMs that nobody knows"),
     (310, "INFO", "this VM was elected key controller"),
     (311, "WARNING", "this VM stepped down as key controller"),
     (312, "INFO", "claim of a controller term was not confirmed"),
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -210,9 +210,9 @@
         )
         if predecessors - {core.UNKNOWN_VM}:
             return
-        self._held_grants.on_all_yielded(
-            self._calls.now_ms() + self._max_grant_lifetime_ms()
-        )
+        if predecessors:
+            self._on_listed_yielded()
+            return
         for lease in self._table.leases:
             if not lease.confirmed:
                 expiry_ms = self._predecessor_leases.expiry_ms(lease.range.instance)
@@ -232,11 +232,28 @@
     def _has_authority(self) -> bool:
         if not self._is_active or self._term is None:
             return False
-        if self._calls.now_ms() < self._confirmed_at_ms + leases.AUTHORITY_TIMEOUT_MS:
+        if self._calls.now_ms() < self._confirmed_at_ms + self._authority_timeout_ms():
             return True
         self.step_down("the store has not confirmed the leader for too long")
         return False
 
+    def _authority_timeout_ms(self) -> float:
+        """Return how long the last confirmation counts.
+
+        It is less if the store had listed this VM for so short a time then that a copy
+        may lack it.
+        """
+        listed_since_ms = self._dependencies.listed_since_ms()
+        if self._confirmed_at_ms >= listed_since_ms + leases.COPY_AGE_LIMIT_MS:
+            return leases.AUTHORITY_TIMEOUT_MS
+        return self._unlisted_authority_timeout_ms()
+
+    def _unlisted_authority_timeout_ms(self) -> float:
+        """Return for how long a VM that the store may have forgotten goes on."""
+        if self._calls.store_names_era():
+            return leases.UNLISTED_AUTHORITY_TIMEOUT_MS
+        return leases.AUTHORITY_TIMEOUT_MS
+
     # Terms and the assignment log.
 
     async def _claim_term(self) -> None:
@@ -300,12 +317,28 @@
         for lease in self._table.leases:
             lease.held = not held_grants.is_range_proven(lease, proven_leases)
         self._held_grants.start(
-            now_ms + self._max_grant_lifetime_ms() + leases.AUTHORITY_TIMEOUT_MS
+            now_ms + leases.AUTHORITY_TIMEOUT_MS + self._max_grant_lifetime_ms()
         )
-        if self._writer.predecessors == {core.UNKNOWN_VM}:
-            self._held_grants.on_all_yielded(now_ms + self._max_grant_lifetime_ms())
         held_count = sum(lease.held for lease in self._table.leases)
-        events.emit(306, term=self._term, held=held_count)
+        listed = self._writer.predecessors - {core.UNKNOWN_VM}
+        events.emit(306, term=self._term, held=held_count, asked=len(listed))
+        if not listed:
+            self._on_listed_yielded()
+
+    def _on_listed_yielded(self) -> None:
+        """Wait only for VMs that the store may have forgotten, and for leases.
+
+        Those can't be asked to yield, so that their authority has to expire.
+        """
+        authority_end_ms = max(
+            self._calls.now_ms(),
+            self._claimed_at_ms + self._unlisted_authority_timeout_ms(),
+        )
+        until_ms = authority_end_ms + self._max_grant_lifetime_ms()
+        self._held_grants.on_listed_yielded(until_ms)
+        events.emit(
+            308, term=self._term, left_ms=round(until_ms - self._calls.now_ms())
+        )
 
     async def _end_held_grants(self) -> None:
         """Grant what was held, and record that the holders are known again."""
--- a/src/wasabivalve/key_leases/held_grants.py
+++ b/src/wasabivalve/key_leases/held_grants.py
@@ -3,6 +3,10 @@
 A restored log may lack claims and moves. What it lacks can have given keys to instances
 that neither the log nor the claiming VM knows. All of these leases expire, or a holder
 proves by accepting the old term that none of them concerns its keys.
+
+The restored list of VMs may lack the controller that granted them. That one can't be
+asked to yield, so that its authority is waited out whoever else yields. A VM that a
+copy may lack therefore has a shorter one, see ``leases.COPY_AGE_LIMIT_MS``.
 """
 
 from collections.abc import Iterable
@@ -70,10 +74,10 @@
         """Wait no longer, as the term has ended or holders are certain."""
         self._until_ms = None
 
-    def on_all_yielded(self, expiry_ms: float) -> None:
-        """Wait only for leases, as no other VM grants any more."""
+    def on_listed_yielded(self, until_ms: float) -> None:
+        """Wait only for the leases of listed VMs and for those that nobody knows."""
         if self._until_ms is not None:
-            self._until_ms = min(self._until_ms, expiry_ms)
+            self._until_ms = min(self._until_ms, until_ms)
 
     def is_over(self, now_ms: float) -> bool:
         """Return whether a wait has ended that was not stopped yet."""
--- a/src/wasabivalve/key_leases/leases.py
+++ b/src/wasabivalve/key_leases/leases.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Literal, NamedTuple
 
@@ -32,6 +33,19 @@
 reassigns the keys of an instance that does not answer, unless its predecessors yield.
 """
 
+UNLISTED_AUTHORITY_TIMEOUT_MS = 2_000.0
+"""As above, for a VM that a restored store may not list.
+
+Nobody can ask such a VM to yield, so that a successor always waits as long. It is more
+than the time after which the registry elects another VM.
+"""
+
+COPY_AGE_LIMIT_MS = 15_000.0
+"""Greatest age of a copy from which a store that names its era comes back.
+
+A VM that was listed for as long is in each copy.
+"""
+
 CALL_TIMEOUT_MS = 450.0
 """Timeout of a call to an instance; a round trip between regions takes 40 ms.
 
@@ -81,7 +95,8 @@
 
     Times are in ms, but lease durations in s; ``now_ms`` also counts time for which
     the machine was suspended. An append names the offset and the era of the store at
-    which it is valid; ``store_era`` returns the newest era that this VM has seen.
+    which it is valid; ``store_era`` returns the newest era that this VM has seen, and
+    ``store_names_era`` whether the store names any.
     """
 
     now_ms: Callable[[], float]
@@ -98,13 +113,15 @@
         Awaitable[ReleaseResult | None],
     ]
     store_era: Callable[[], int] = lambda: 0
+    store_names_era: Callable[[], bool] = lambda: False
 
 
 class ControllerDependencies(NamedTuple):
     """Hold the queries and notifications by which a controller uses other parts.
 
     ``known_map`` returns the newest map that this VM has seen, ``known_vms`` the names
-    of all VMs that may have been controller.
+    of all VMs that may have been controller, ``listed_since_ms`` since when the store
+    lists this one.
     """
 
     partitioned_services: Callable[[], Sequence[str]]
@@ -120,6 +137,7 @@
     is_warming: Callable[[placement.RegisteredInstance], bool] = lambda instance: False
     known_map: Callable[[], core.AssignmentMap] = lambda: core.EMPTY_MAP
     known_vms: Callable[[], Iterable[str]] = lambda: ()
+    listed_since_ms: Callable[[], float] = lambda: -math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/wasabivalve/key_leases/tests/lease_simulation.py
+++ b/src/wasabivalve/key_leases/tests/lease_simulation.py
@@ -89,7 +89,7 @@
 class LeaseSimulation:
     """Hold the instances, the log, the controllers and the faults of a simulation."""
 
-    def __init__(self, instance_count=3, seed=0):
+    def __init__(self, instance_count=3, seed=0, store_names_era=False):
         self.random = random.Random(seed)
         self.loss_probability = 0.0
         self.late_probability = 0.0
@@ -112,6 +112,9 @@
         self.append_reply_delay_s = 0.0
         self.release_delay_s_by_name = {}
         self.unreachable_vms = set()
+        self.vms_without_store = set()
+        self.store_names_era = store_names_era
+        self.unlisted_vms = set()
         self.confirmed_at_s_by_first_key = {}
         self.announced_after_confirmation_s = []
         self.loads = key_loads.KeyLoads()
@@ -183,7 +186,9 @@
             self._grant,
             self._release,
             lambda: self.era_by_vm.get(vm, 0),
+            lambda: self.store_names_era,
         )
+        listed_since_ms = 1000.0 * self.now_s()
         dependencies = leases.ControllerDependencies(
             lambda: [SERVICE],
             self.registered_by_name.get,
@@ -200,7 +205,8 @@
             ),
             lambda predecessor, term: self._request_yield(vm, predecessor, term),
             known_map=lambda: self.known_map_by_vm.get(vm, core.EMPTY_MAP),
-            known_vms=lambda: self.controller_by_vm,
+            known_vms=lambda: self.controller_by_vm.keys() - self.unlisted_vms,
+            listed_since_ms=lambda: listed_since_ms,
         )
         # What an earlier incarnation of the VM knew is lost with it.
         self.known_map_by_vm.pop(vm, None)
@@ -263,7 +269,7 @@
 
     async def _read_log_tail(self, vm):
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
-        if not self.store_available:
+        if not self.store_available or vm in self.vms_without_store:
             return None
         self.notice_era(vm)
         newest = self.assignment_log[-1] if self.assignment_log else core.EMPTY_MAP
@@ -271,7 +277,7 @@
 
     async def _append_assignment_map(self, vm, assignment_map, offset, era):
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
-        if not self.store_available:
+        if not self.store_available or vm in self.vms_without_store:
             if self.store_only_refuses:
                 return "refused"
             return self.random.choice(("refused", "unknown"))
--- a/src/wasabivalve/key_leases/tests/test_store_era.py
+++ b/src/wasabivalve/key_leases/tests/test_store_era.py
@@ -1,12 +1,29 @@
 """Test that keys keep one holder when the store is restored from an older copy."""
 
+import asyncio
+
 import hypothesis
 import pytest
 from hypothesis import strategies
 
-from wasabivalve.key_leases import core
+from wasabivalve.key_leases import core, leases
 from wasabivalve.key_leases.tests import lease_simulation
 
+UNKNOWN_CONTROLLER_S = (
+    leases.UNLISTED_AUTHORITY_TIMEOUT_MS
+    + leases.LEASE_DURATION_MS * leases.CLOCK_MARGIN_FACTOR
+    + leases.MAX_ARRIVAL_DELAY_MS
+) / 1000.0
+"""Time for which a controller that nobody knows, or a lease of it, may last."""
+
+GRANT_DELAY_S = 1.2
+"""Time for a claim, the release of held grants and their first round."""
+
+
+def run_scenario(scenario, **options):
+    """Run a scenario with a store that names its era, as one that is restored does."""
+    lease_simulation.run_scenario(scenario, store_names_era=True, **options)
+
 
 def highest_token(simulation):
     return max(
@@ -16,6 +33,15 @@
     )
 
 
+async def wait_out_unknown_controllers(simulation, leader):
+    """Check that held grants wait as long as they must, and no longer."""
+    await simulation.keep_elected(leader, UNKNOWN_CONTROLLER_S - 1.0)
+    assert core.UNKNOWN_VM in simulation.assignment_log[-1].predecessors
+    await simulation.keep_elected(leader, 1.0 + GRANT_DELAY_S)
+    assert core.UNKNOWN_VM not in simulation.assignment_log[-1].predecessors
+    assert simulation.count_unheld_keys() == 0
+
+
 async def move_some_keys(simulation, leader, keys=range(0, 20_000, 7)):
     """Have the controller write moves to the log, and return where it ended before."""
     end_offset = len(simulation.assignment_log)
@@ -40,7 +66,7 @@
         assert [each.term for each in simulation.assignment_log] == [0, 0]
         assert highest_token(simulation) < 1 << core.GRANT_NUMBER_BITS
 
-    lease_simulation.run_scenario(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize("loses_first_claim", [False, True])
@@ -64,7 +90,7 @@
         assert core.UNKNOWN_VM not in claim.predecessors
         assert highest_token(simulation) > before
 
-    lease_simulation.run_scenario(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize("knows_lost_map", [False, True])
@@ -91,7 +117,7 @@
         same_holders = recorded.ranges_by_service == newest.ranges_by_service
         assert same_holders == knows_lost_map
 
-    lease_simulation.run_scenario(scenario)
+    run_scenario(scenario)
 
 
 def test_successor_of_a_waiting_controller_waits_as_well():
@@ -116,7 +142,7 @@
         await simulation.keep_elected(third, 8.0)
         assert simulation.count_unheld_keys() == 0
 
-    lease_simulation.run_scenario(scenario)
+    run_scenario(scenario)
 
 
 def test_two_controllers_on_both_sides_of_a_rewind():
@@ -137,7 +163,92 @@
         assert simulation.count_unheld_keys() == 0
         assert highest_token(simulation) > before
 
-    lease_simulation.run_scenario(scenario)
+    run_scenario(scenario)
+
+
+async def lose_controller_that_only_the_lost_part_knew(simulation):
+    """Restore the store to before "a" registered, and restart the listed VM "b".
+
+    "a" has moved keys, is cut off from the store and still reaches the instances.
+    """
+    simulation.unlisted_vms.add("a")
+    listed = simulation.new_controller("b")
+    listed.start()
+    await simulation.keep_elected(listed, 3.0)
+    lost_from = len(simulation.assignment_log)
+    listed.on_other_elected()
+    unlisted = simulation.new_controller("a")
+    unlisted.start()
+    await simulation.keep_elected(unlisted, 2.0)
+    await move_some_keys(simulation, unlisted)
+    listed.close()
+    simulation.unreachable_vms.add("a")
+    simulation.vms_without_store.add("a")
+    simulation.rewind(lost_from, told_vms=[])
+    listed = simulation.new_controller("b")
+    listed.start()
+    return listed, unlisted
+
+
+@pytest.mark.parametrize("others_yield", [False, True])
+def test_controller_missing_in_the_restored_list_of_vms_is_waited_out(others_yield):
+    """Yields of listed VMs must not count as a yield of one that the store lost."""
+
+    async def scenario(simulation):
+        listed, unlisted = await lose_controller_that_only_the_lost_part_knew(
+            simulation
+        )
+        if others_yield:
+            simulation.new_controller("c").start()
+        await wait_out_unknown_controllers(simulation, listed)
+        assert listed.is_controller and not unlisted.is_controller
+
+    run_scenario(scenario)
+
+
+def test_proven_range_of_a_silent_holder_is_not_reassigned_early():
+    """A controller that nobody knows may still renew a lease of a silent holder."""
+
+    async def scenario(simulation):
+        leader = simulation.new_controller("b")
+        leader.start()
+        await simulation.keep_elected(leader, 3.0)
+        simulation.new_controller("c").start()
+        unproven = simulation.instance_by_name["i-1"]
+        unproven.reachable = False
+        simulation.rewind(1)
+        # It proves that it has its keys, but never answers to the next term.
+        await asyncio.sleep(0.3)
+        simulation.instance_by_name["i-0"].reachable = False
+        await simulation.keep_elected(leader, 1.0)
+        assert core.UNKNOWN_VM in simulation.assignment_log[-1].predecessors
+        unproven.reachable = True
+        await simulation.keep_elected(leader, leases.AUTHORITY_TIMEOUT_MS / 1000.0)
+        ranges = simulation.assignment_log[-1].ranges_by_service
+        holders = {each.instance for each in ranges[lease_simulation.SERVICE]}
+        assert "i-0" in holders
+        await simulation.keep_elected(leader, 10.0)
+        assert simulation.count_unheld_keys() == 0
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("listed_for_s", [3.0, 20.0])
+def test_listed_controller_rides_out_an_outage(listed_for_s):
+    """Only a VM that a copy may lack gives up its term soon without the store."""
+
+    async def scenario(simulation):
+        leader = simulation.new_controller("a")
+        leader.start()
+        await simulation.keep_elected(leader, listed_for_s)
+        simulation.store_available = False
+        await asyncio.sleep(leases.UNLISTED_AUTHORITY_TIMEOUT_MS / 1000.0 + 0.5)
+        rides_out = listed_for_s > leases.COPY_AGE_LIMIT_MS / 1000.0
+        assert leader.is_controller == rides_out
+        await asyncio.sleep(8.0)
+        assert leader.is_controller == rides_out
+
+    run_scenario(scenario)
 
 
 def test_refused_token_leads_to_a_claim_with_a_higher_one():
@@ -160,7 +271,7 @@
         assert first.is_controller and simulation.count_unheld_keys() == 0
         assert simulation.assignment_log[-1].term >= core.first_term(1)
 
-    lease_simulation.run_scenario(scenario)
+    run_scenario(scenario)
 
 
 def test_suspended_controller_proves_holders_before_it_goes_on():
@@ -190,7 +301,7 @@
         await simulation.keep_elected(first, 12.0)
         assert first.is_controller and simulation.count_unheld_keys() == 0
 
-    lease_simulation.run_scenario(scenario)
+    run_scenario(scenario)
 
 
 def test_late_record_of_an_older_era_is_not_taken_for_a_claim():
@@ -209,7 +320,7 @@
         await move_some_keys(simulation, leader, range(40_000, 60_000, 7))
         assert simulation.assignment_log[-1].term == term
 
-    lease_simulation.run_scenario(scenario)
+    run_scenario(scenario)
 
 
 @hypothesis.given(
@@ -257,4 +368,4 @@
         claimed_terms = simulation.claimed_terms
         assert claimed_terms == sorted(set(claimed_terms))
 
-    lease_simulation.run_scenario(scenario, seed=seed)
+    run_scenario(scenario, seed=seed)
--- a/src/wasabivalve/keyed_log/store_era.py
+++ b/src/wasabivalve/keyed_log/store_era.py
@@ -15,12 +15,14 @@
 class StoreEra:
     """Hold the newest era that this VM has seen, in an answer or a message.
 
-    ``change_count`` counts how often it has risen.
+    ``change_count`` counts how often it has risen; ``is_named`` says whether the store
+    names any, as one does that may come back from a copy.
     """
 
     def __init__(self) -> None:
         self.newest = NO_ERA
         self.change_count = 0
+        self.is_named = False
         self._is_known = False
         self._listeners: list[Callable[[], None]] = []
 
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -286,6 +286,7 @@
                 self._grant_client.grant,
                 self._grant_client.release,
                 lambda: self._store_era.newest,
+                lambda: self._store_era.is_named,
             ),
             leases.ControllerDependencies(
                 self._partitioned_services,
@@ -301,6 +302,7 @@
                 self._dispatch_node.is_warming,
                 lambda: self._key_view.assignment_map,
                 lambda: known_vms.registration_by_vm,
+                lambda: self._group_member.listed_since_ms,
             ),
         )
         self._group_member = membership.ControllerGroupMember(
--- a/src/wasabivalve/platform/membership.py
+++ b/src/wasabivalve/platform/membership.py
@@ -1,6 +1,7 @@
 """Register this VM in the store and elect the controller through a consumer group."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -75,6 +76,18 @@
         self._generation = 0
         self._partitions: frozenset[int] = frozenset()
         self._leaving = False
+        self._registered_at_ms = math.inf
+
+    @property
+    def listed_since_ms(self) -> float:
+        """Return since when the store certainly lists this VM, in ms of the boot time.
+
+        A VM that starts again finds itself listed, but not since when.
+        """
+        recorded = self._exchange.directory.recorded_own_registration
+        if recorded != self._settings.vm_registration:
+            return math.inf
+        return self._registered_at_ms
 
     def on_new_era(self) -> None:
         """Join the group as a new member, as the store may have lost this one."""
@@ -96,6 +109,7 @@
                 directory.recorded_own_registration = self._settings.vm_registration
                 break
             await asyncio.sleep(JOIN_INTERVAL_S)
+        self._registered_at_ms = self._boottime_ms()
         min_ttl_s = self._settings.min_group_ttl_ms / SECOND_MS
         if is_new:
             await asyncio.sleep(REGISTRATION_WAIT_S)
@@ -121,6 +135,7 @@
             return
         if await self._store_client.append(VMS_TOPIC, vm, registration) == "done":
             directory.recorded_own_registration = self._settings.vm_registration
+            self._registered_at_ms = self._boottime_ms()
 
     async def _list_vms(self) -> None:
         """Read which VMs registered at the same time, as they decide who may join.
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -262,6 +262,7 @@
         value = response.header(ERA_HEADER) or b""
         if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
             return self.era.newest
+        self.era.is_named = True
         return int(value)
 
     async def _connect(
--- a/src/wasabivalve/platform/tests/test_membership.py
+++ b/src/wasabivalve/platform/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Test which VMs join the group that elects the controller."""
 
 import asyncio
+import math
 import types
 
 import msgspec
@@ -47,7 +48,9 @@
         own = vm_directory.VmRegistration("127.0.0.1", 1, "east", own_link_mbps)
         directory = vm_directory.VmDirectory("vm-own", own, TOPOLOGY)
         others = {
-            f"vm-{number}": vm_directory.VmRegistration("h", number, "east", 100.0)
+            f"vm-{number}": vm_directory.VmRegistration(
+                f"10.0.0.{number}", 1, "east", 100.0
+            )
             for number in range(12)
         }
         store_client = GroupStore(others)
@@ -75,3 +78,39 @@
         assert (store_client.join_count > 0) == joins
 
     asyncio.run(main())
+
+
+def test_vm_knows_since_when_the_store_lists_it():
+    """A VM that a restored store has forgotten must not count as listed for long."""
+
+    async def main():
+        own = vm_directory.VmRegistration("127.0.0.1", 1, "east", 100.0)
+        directory = vm_directory.VmDirectory("vm-own", own, TOPOLOGY)
+        now_ms = 5_000.0
+        member = membership.ControllerGroupMember(
+            types.SimpleNamespace(
+                vm="vm-own", vm_registration=own, min_group_ttl_ms=1_000.0
+            ),
+            GroupStore({}),
+            types.SimpleNamespace(is_controller=False),
+            lambda: False,
+            types.SimpleNamespace(
+                directory=directory, on_vm_record=directory.on_record
+            ),
+            asyncio.Event(),
+            lambda: now_ms,
+            types.SimpleNamespace(is_ongoing=False),
+        )
+        assert member.listed_since_ms == math.inf
+        member._vms_listed.set()
+        task = asyncio.create_task(member.run())
+        await asyncio.sleep(membership.REGISTRATION_WAIT_S + 0.1)
+        assert member.listed_since_ms == 5_000.0
+        now_ms = 30_000.0
+        directory.start_listing()
+        assert member.listed_since_ms == math.inf
+        await asyncio.sleep(membership.JOIN_INTERVAL_S + 0.1)
+        assert member.listed_since_ms == 30_000.0
+        task.cancel()
+
+    asyncio.run(main())
