Do not extend a term by an election in a later era of the store

Cause: an election renewed the authority of whatever term the VM had. The wait of a successor counts from its claim and covers only confirmations that were sent before it.

Change: an election counts for a term only in the era in which the term was claimed; it is kept for the next claim of this VM.

Why it works: the older term now ends after an election of its own era, which is before the restore.

--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -68,6 +68,7 @@
         # term or the authority of this VM times out.
         self._is_active = False
         self._is_elected = False
+        self._elected_at_ms = 0.0
         self._confirmed_at_ms = 0.0
         self._writer = assignment_log.AssignmentLogWriter(
             vm,
@@ -131,12 +132,16 @@
     def on_elected(self, confirmed_at_ms: float) -> None:
         """Record that the registry elected this VM as controller.
 
-        ``confirmed_at_ms`` is when the call to the registry was sent.
+        ``confirmed_at_ms`` is when the call to the registry was sent. An election in a
+        later era of the store says nothing about a term that it may have lost, so it
+        confirms only the next one.
         """
         if not self._is_active:
             events.emit(310, vm=self._vm)
         self._is_active = self._is_elected = True
-        self._confirmed_at_ms = max(self._confirmed_at_ms, confirmed_at_ms)
+        self._elected_at_ms = max(self._elected_at_ms, confirmed_at_ms)
+        if self._term is None or self._writer.is_current:
+            self._confirmed_at_ms = self._elected_at_ms
 
     def on_other_elected(self) -> None:
         """Record that the registry elected another VM as controller.
@@ -300,6 +305,7 @@
         """
         now_ms = self._calls.now_ms()
         self._claimed_at_ms = now_ms
+        self._confirmed_at_ms = self._elected_at_ms
         self._predecessor_leases.start_term()
         max_remaining_ms = self._max_grant_lifetime_ms()
         if self._writer.predecessors:
--- a/src/wasabivalve/key_leases/tests/test_store_era.py
+++ b/src/wasabivalve/key_leases/tests/test_store_era.py
@@ -233,6 +233,26 @@
     run_scenario(scenario)
 
 
+def test_election_in_a_new_era_does_not_extend_an_older_term():
+    """A controller that can't claim again must end its lost term like any other."""
+
+    async def scenario(simulation):
+        listed, unlisted = await lose_controller_that_only_the_lost_part_knew(
+            simulation
+        )
+        await simulation.keep_elected(listed, 8.0)
+        listed.on_other_elected()
+        # Joins reach the store, but reads of the assignment log fail.
+        simulation.notice_era("a")
+        for _ in range(40):
+            unlisted.on_elected(1000.0 * simulation.now_s())
+            await asyncio.sleep(0.5)
+            simulation.check_holders()
+        assert not unlisted.is_controller
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("listed_for_s", [3.0, 20.0])
 def test_listed_controller_rides_out_an_outage(listed_for_s):
     """Only a VM that a copy may lack gives up its term soon without the store."""
