Refuse values of others that can't be decoded or printed, whatever the error

Cause: JSON that can just be decoded can't be printed one frame deeper: the text of the error about the entry raised RecursionError itself. The same held for other values that are decoded, printed or compared before they are checked: records of evacuations, facts, VM registrations, assignment maps, messages and document copies (decoders raise RecursionError beside DecodeError), pages of the store, a health path in a desired state, the settings file that SIGHUP reads, a path of a document copy with digits of other scripts, and registrations with an address that sendto refuses.

Change: untrusted_data decodes with one error and prints the beginning of any value; all of these use it. A registration names an IP address and a port.

Why it works: the only errors left are the one that each caller handles.

--- a/src/wasabivalve/key_leases/core.py
+++ b/src/wasabivalve/key_leases/core.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from wasabivalve import untrusted_data
+
 KEY_COUNT = 65_536
 """Keys of a partitioned service are numbered from 0 to 65535."""
 
@@ -81,8 +83,9 @@
 
 
 def decode(data: bytes) -> AssignmentMap:
-    """Return the map of an encoding; raise ``msgspec.DecodeError`` for other bytes."""
-    return msgspec.msgpack.decode(data, type=AssignmentMap)
+    """Return the map of an encoding; raise ``UndecodableError`` for others."""
+    assignment_map: AssignmentMap = untrusted_data.decode_msgpack(data, AssignmentMap)
+    return assignment_map
 
 
 def first_term(era: int) -> int:
--- a/src/wasabivalve/platform/assignment_log.py
+++ b/src/wasabivalve/platform/assignment_log.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
-import msgspec
-
-from wasabivalve import events
+from wasabivalve import events, untrusted_data
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.key_leases import leases
 from wasabivalve.keyed_log import core as keyed_log
@@ -78,7 +76,7 @@
 def _decode(record: keyed_log.Record) -> key_leases.AssignmentMap | None:
     try:
         return key_leases.decode(record.value or b"")
-    except msgspec.DecodeError as error:
+    except untrusted_data.UndecodableError as error:
         events.emit(
             203, topic=ASSIGNMENT_LOG_TOPIC, offset=record.offset, error=str(error)
         )
--- a/src/wasabivalve/platform/desired_state.py
+++ b/src/wasabivalve/platform/desired_state.py
@@ -3,8 +3,7 @@
 from collections.abc import Mapping
 from typing import Any, Generic, NamedTuple, TypeVar
 
-import msgspec
-
+from wasabivalve import untrusted_data
 from wasabivalve.desired_state import core as desired_state
 
 ROUTES_KIND = "routes"
@@ -87,8 +86,8 @@
 def parse(data: bytes) -> Any:
     """Return the JSON value of a document; raise ``MalformedDesiredState``."""
     try:
-        return msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return untrusted_data.decode_json(data)
+    except untrusted_data.UndecodableError as error:
         raise MalformedDesiredState(f"not JSON: {error}") from error
 
 
@@ -147,7 +146,8 @@
             value, expected_type
         ):
             self.add_problem(
-                field_path, f"is {_show(value)}, which has an unexpected type"
+                field_path,
+                f"is {untrusted_data.excerpt(value)}, which has an unexpected type",
             )
             return default
         return value
@@ -158,7 +158,10 @@
         try:
             return float(value)
         except OverflowError:
-            self.add_problem(f"{path}.{name}", f"is {_show(value)}, which is too large")
+            self.add_problem(
+                f"{path}.{name}",
+                f"is {untrusted_data.excerpt(value)}, which is too large",
+            )
             return 0.0
 
     def read_optional_number(self, spec: dict[str, Any], name: str, path: str) -> float:
@@ -168,19 +171,11 @@
         value = self.read_number(spec, name, path)
         # JSON has no infinite numbers, so only negative ones are excluded.
         if value < 0.0:
-            self.add_problem(f"{path}.{name}", f"is {value!r}, expected 0 or more")
+            self.add_problem(f"{path}.{name}", f"is {value:g}, expected 0 or more")
             return 0.0
         return value
 
 
-def _show(value: Any) -> str:
-    try:
-        return f"{value!r:.40}"
-    except (ValueError, RecursionError):
-        # Python prints neither numbers of thousands of digits nor deep nesting.
-        return "not printable"
-
-
 def _decode_resource(
     reader: _DocumentReader, kind: str, resource: Any, path: str
 ) -> _Resource | None:
@@ -209,7 +204,8 @@
     if not (path_prefix.startswith("/") and path_prefix.endswith("/")):
         reader.add_problem(
             f"{path}.path_prefix",
-            f"is {path_prefix!r}, expected a leading and trailing /",
+            f"is {untrusted_data.excerpt(path_prefix)}, expected a leading and "
+            "trailing /",
         )
     # Requests of these kinds may run more than once, those of any other at most once.
     kind = reader.read_field(spec, "kind", str, path, "")
@@ -241,7 +237,7 @@
             # A dropped entry could allow a region that the operator excludes.
             reader.add_problem(
                 f"{path}.allowed_regions[{index}]",
-                f"is {_show(region)}, expected a name",
+                f"is {untrusted_data.excerpt(region)}, expected a name",
             )
         else:
             names.add(region)
@@ -279,12 +275,22 @@
         max_connections=int(reader.read_number(spec, "max_connections", path)),
         # Each instance of a sharded service has exclusive leases of its keys.
         partitioned=spec.get("sharded") is True,
-        health_path=str(spec.get("health_path", "")),
+        health_path=_decode_health_path(reader, spec, path),
         warmup_ms=1000.0 * reader.read_optional_number(spec, "warmup_s", path),
         warmup_per_s=reader.read_optional_number(spec, "warmup_per_s", path),
     )
 
 
+def _decode_health_path(
+    reader: _DocumentReader, spec: dict[str, Any], path: str
+) -> str:
+    """Return the path of health probes; without one there are none."""
+    if spec.get("health_path") is None:
+        return ""
+    health_path: str = reader.read_field(spec, "health_path", str, path, "")
+    return health_path
+
+
 def _decode_limits(
     reader: _DocumentReader, spec: dict[str, Any], path: str
 ) -> desired_state.CallerLimits:
--- a/src/wasabivalve/platform/facts.py
+++ b/src/wasabivalve/platform/facts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from wasabivalve import events, shared_facts
+from wasabivalve import events, shared_facts, untrusted_data
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.shared_facts import crash_evidence
 
@@ -118,8 +118,8 @@
             self._value_by_member_by_recorded.pop(record.key, None)
             return
         try:
-            decoded = msgspec.msgpack.decode(record.value, type=_Record)
-        except msgspec.DecodeError as error:
+            decoded = untrusted_data.decode_msgpack(record.value, _Record)
+        except untrusted_data.UndecodableError as error:
             events.emit(203, topic=FACTS_TOPIC, offset=record.offset, error=str(error))
             return
         self._value_by_member_by_recorded[record.key] = {
--- a/src/wasabivalve/platform/instances.py
+++ b/src/wasabivalve/platform/instances.py
@@ -3,8 +3,7 @@
 import ipaddress
 from typing import Any
 
-import msgspec
-
+from wasabivalve import untrusted_data
 from wasabivalve.placement import core as placement
 
 READY = "ready"
@@ -28,15 +27,15 @@
     Raise ``MalformedInstanceEntry`` if the entry is not valid.
     """
     try:
-        entry = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        entry = untrusted_data.decode_json(data)
+    except untrusted_data.UndecodableError as error:
         raise MalformedInstanceEntry(f"not readable as JSON: {error}") from error
     if not isinstance(entry, dict):
         raise MalformedInstanceEntry("entry is not a JSON object")
     state = _read_field(entry, "state", str)
     if state not in (READY, DRAINING):
         raise MalformedInstanceEntry(
-            f"state is {state!r:.40}, expected ready or draining"
+            f"state is {untrusted_data.excerpt(state)}, expected ready or draining"
         )
     host, port = _read_address(entry)
     return placement.RegisteredInstance(
@@ -63,12 +62,14 @@
         ipaddress.ip_address(host)
     except ValueError as error:
         raise MalformedInstanceEntry(
-            f"address is {address!r:.40}, expected IP:PORT"
+            f"address is {untrusted_data.excerpt(address)}, expected IP:PORT"
         ) from error
-    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
-    if not is_number or not 1 <= int(port) <= MAX_PORT:
-        raise MalformedInstanceEntry(f"port is {port!r:.40}, expected 1 to {MAX_PORT}")
-    return host, int(port)
+    number = untrusted_data.decode_digits(port, MAX_PORT)
+    if not number:
+        raise MalformedInstanceEntry(
+            f"port is {untrusted_data.excerpt(port)}, expected 1 to {MAX_PORT}"
+        )
+    return host, number
 
 
 def _read_number(
@@ -81,7 +82,7 @@
     value = _read_field(entry, name, expected_type)
     if not 0 <= value <= maximum:
         raise MalformedInstanceEntry(
-            f"{name} is {value!r:.40}, expected 0 to {maximum:g}"
+            f"{name} is {untrusted_data.excerpt(value)}, expected 0 to {maximum:g}"
         )
     return value
 
@@ -92,6 +93,6 @@
     value = entry[name]
     if isinstance(value, bool) or not isinstance(value, expected_type):
         raise MalformedInstanceEntry(
-            f"{name} is {value!r:.40}, which has an unexpected type"
+            f"{name} is {untrusted_data.excerpt(value)}, which has an unexpected type"
         )
     return value
--- a/src/wasabivalve/platform/operator_records.py
+++ b/src/wasabivalve/platform/operator_records.py
@@ -3,9 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
 
-import msgspec
-
-from wasabivalve import events
+from wasabivalve import events, untrusted_data
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.placement import evacuation
@@ -130,6 +128,6 @@
 
 def _is_object(value: bytes) -> bool:
     try:
-        return isinstance(msgspec.json.decode(value), dict)
-    except msgspec.DecodeError:
+        return isinstance(untrusted_data.decode_json(value), dict)
+    except untrusted_data.UndecodableError:
         return False
--- a/src/wasabivalve/platform/settings.py
+++ b/src/wasabivalve/platform/settings.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-from wasabivalve import outcomes, ramp_up
+from wasabivalve import outcomes, ramp_up, untrusted_data
 from wasabivalve.gateway import receiving
 from wasabivalve.vm_link import vm_directory
 
@@ -40,6 +40,8 @@
 
 BYTES_PER_MB = 1_000_000
 
+MAX_PORT = 65_535
+
 
 class HostPort(NamedTuple):
     """Hold an IP address and a port to listen on or to connect to."""
@@ -125,7 +127,8 @@
                 expected_type if isinstance(expected_type, tuple) else (expected_type,)
             )
             names = " or ".join(type_.__name__ for type_ in types)
-            self.add_finding(path, f"is {value!r}, expected type {names}")
+            shown = untrusted_data.excerpt(value)
+            self.add_finding(path, f"is {shown}, expected type {names}")
             return None
         return value
 
@@ -133,9 +136,11 @@
         """Return the address at a dotted path; its port is 0 after a finding."""
         value = self.read_value(path, str)
         host, _, port = (value or "").rpartition(":")
-        if value is not None and not (host and port.isdigit()):
-            self.add_finding(path, f"is {value!r}, expected IP:PORT")
-        return HostPort(host, int(port) if port.isdigit() else 0)
+        number = untrusted_data.decode_digits(port, MAX_PORT)
+        if value is not None and (not host or number is None):
+            shown = untrusted_data.excerpt(value)
+            self.add_finding(path, f"is {shown}, expected IP:PORT")
+        return HostPort(host, number or 0)
 
     def read_vm_link_port(self) -> int:
         """Return the first internal port, on which this VM listens for other VMs."""
@@ -145,7 +150,8 @@
         if not ports or isinstance(ports[0], bool) or not isinstance(ports[0], int):
             self.add_finding(
                 "internal_ports",
-                f"is {ports!r}, expected a range of ports [FIRST, LAST]",
+                f"is {untrusted_data.excerpt(ports)}, expected a range of ports "
+                "[FIRST, LAST]",
             )
             return 0
         return int(ports[0])
@@ -153,12 +159,14 @@
     def read_metrics_port(self) -> int:
         """Return the metrics port from the environment, or the default port."""
         text = os.environ.get(METRICS_PORT_VARIABLE, str(DEFAULT_METRICS_PORT))
-        if not text.isdigit():
+        port = untrusted_data.decode_digits(text, MAX_PORT)
+        if port is None:
+            shown = untrusted_data.excerpt(text)
             self.add_finding(
-                METRICS_PORT_VARIABLE, f"is {text!r}, expected a port number"
+                METRICS_PORT_VARIABLE, f"is {shown}, expected a port number"
             )
             return DEFAULT_METRICS_PORT
-        return int(text)
+        return port
 
     def read_positive_variable(self, name: str, default: float) -> float:
         """Return a positive number from the environment, or the default."""
@@ -168,26 +176,37 @@
         except ValueError:
             value = 0.0
         if not 0.0 < value < math.inf:
-            self.add_finding(name, f"is {text!r}, expected a positive number")
+            shown = untrusted_data.excerpt(text)
+            self.add_finding(name, f"is {shown}, expected a positive number")
             return default
         return value
 
     def read_number(self, path: str, default: float) -> float:
         """Return the number at a dotted path, or the default after a finding."""
         value = self.read_value(path, (int, float))
-        return default if value is None else float(value)
+        try:
+            return default if value is None else float(value)
+        except OverflowError:
+            shown = untrusted_data.excerpt(value)
+            self.add_finding(path, f"is {shown}, which is too large")
+            return default
 
     def read_bounds(self) -> dict[str, float]:
         """Return the numbers in ``bounds``, a list of ``name=value`` strings."""
         value_by_bound = {}
         for index, text in enumerate(self.read_value("bounds", list) or []):
-            name, _, value = str(text).partition("=")
+            if not isinstance(text, str):
+                shown = untrusted_data.excerpt(text)
+                self.add_finding(f"bounds[{index}]", f"is {shown}, expected a text")
+                continue
+            name, _, value = text.partition("=")
             try:
                 value_by_bound[name] = float(value)
             except ValueError:
                 if value not in ("true", "false"):
                     self.add_finding(
-                        f"bounds[{index}]", f"is {text!r}, expected NAME=NUMBER"
+                        f"bounds[{index}]",
+                        f"is {untrusted_data.excerpt(text)}, expected NAME=NUMBER",
                     )
         return value_by_bound
 
@@ -211,7 +230,8 @@
     """
     try:
         table = tomllib.loads(path.read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
+        # Long numbers and deep nesting raise other errors than bad syntax.
         return RejectedSettings((outcomes.Finding(str(path), "", str(error)),))
     reader = _SettingsReader(str(path), table)
     value_by_bound = reader.read_bounds()
@@ -222,10 +242,14 @@
         return value_by_bound.get(name, 0.0)
 
     regions = reader.read_value("zones", dict) or {}
+    for zone, region in regions.items():
+        if not isinstance(region, str):
+            shown = untrusted_data.excerpt(region)
+            reader.add_finding(f"zones.{zone}", f"is {shown}, expected a name")
     vm_settings = VmSettings(
         vm=reader.read_value("node", str) or "",
         data_centre=reader.read_value("zone", str) or "",
-        region_by_data_centre={str(zone): str(regions[zone]) for zone in regions},
+        region_by_data_centre=regions,
         caller_listen_address=reader.read_address("listen.front"),
         readiness_listen_address=reader.read_address("listen.ready_address"),
         store_address=reader.read_address("platform.address"),
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from wasabivalve import untrusted_data
 from wasabivalve.gateway import messages, receiving, upstream_connection
 from wasabivalve.key_leases import leases
 from wasabivalve.keyed_log import core as keyed_log
@@ -51,6 +52,17 @@
 
 MAX_ERA_DIGITS = 9
 
+UNREADABLE_ERRORS = (
+    untrusted_data.UndecodableError,
+    LookupError,
+    TypeError,
+    ValueError,
+    OverflowError,
+)
+"""What reading a response raises whose body has another form than expected."""
+
+MAX_REASON_CHARACTERS = 200
+
 REFUSED_APPEND_STATUSES = frozenset({409, 413, 429, 503, 507})
 """Statuses of an append that guarantee that nothing was written."""
 
@@ -106,12 +118,13 @@
             if response.status != 200:
                 return _unexpected_status(response)
             try:
-                page = msgspec.json.decode(response.body)
+                page = untrusted_data.decode_json(response.body)
                 rows = [_decode_row(row) for row in page["items"]]
                 page_end_offset = int(page["end"])
                 more = bool(page["more"])
-            except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-                return keyed_log.Unavailable(f"unreadable log-newest page: {error!r}")
+            except UNREADABLE_ERRORS as error:
+                reason = untrusted_data.excerpt(error, MAX_REASON_CHARACTERS)
+                return keyed_log.Unavailable(f"unreadable log-newest page: {reason}")
             records += rows
             # The pages are not a consistent snapshot: the topic may change between
             # them. Reading on from the smallest end offset misses no change.
@@ -196,11 +209,12 @@
         if response.status != 200:
             return _unexpected_status(response)
         try:
-            document = msgspec.json.decode(response.body)
+            document = untrusted_data.decode_json(response.body)
             partitions = frozenset(int(row[1]) for row in document["parts"])
             return GroupAssignment(int(document["generation"]), partitions)
-        except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
-            return keyed_log.Unavailable(f"unreadable log-join response: {error!r}")
+        except UNREADABLE_ERRORS as error:
+            reason = untrusted_data.excerpt(error, MAX_REASON_CHARACTERS)
+            return keyed_log.Unavailable(f"unreadable log-join response: {reason}")
 
     async def leave_group(self, group: str, member: str) -> bool:
         """Remove a member from a group; return whether the store confirmed it."""
@@ -312,18 +326,22 @@
 
 def _read_integer(response: messages.HttpResponse, name: str) -> int:
     try:
-        return int(msgspec.json.decode(response.body)[name])
-    except (msgspec.DecodeError, LookupError, TypeError, ValueError):
+        return int(untrusted_data.decode_json(response.body)[name])
+    except UNREADABLE_ERRORS:
         # The value is only logged; the follower lists the topic again in any case.
         return -1
 
 
 def _decode_row(row: Any) -> keyed_log.Record:
+    key = row["key"]
+    if not isinstance(key, str):
+        raise TypeError(f"key is {untrusted_data.excerpt(key)}, expected a text")
     try:
         value = base64.b64decode(row["value"], validate=True)
     except binascii.Error as error:
-        raise ValueError(f"value of key {row['key']!r} is not valid base64") from error
-    return keyed_log.Record(int(row["offset"]), str(row["key"]), value)
+        shown = untrusted_data.excerpt(key)
+        raise ValueError(f"value of key {shown} is not valid base64") from error
+    return keyed_log.Record(int(row["offset"]), key, value)
 
 
 def _decode_batch(body: bytes, offset: int) -> keyed_log.Batch | keyed_log.Unavailable:
--- a/src/wasabivalve/vm_link/copies.py
+++ b/src/wasabivalve/vm_link/copies.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from wasabivalve import events
+from wasabivalve import events, untrusted_data
 from wasabivalve.gateway import (
     internal_http,
     messages,
@@ -50,6 +50,8 @@
 They are cut off from the store or as late as this VM, and asking them takes a second.
 """
 
+MAX_OFFSET = 2**64 - 1
+
 MAX_SOURCES_ASKED = 2
 """Sources asked for one copy; more would use up the time left for the store."""
 
@@ -252,15 +254,20 @@
     async def _handle(self, request: messages.HttpRequest) -> messages.HttpResponse:
         topic, *texts = request.path.removeprefix(COPIES_PATH).split("/")
         document = self._document_by_topic.get(topic)
+        if len(texts) == 1:
+            texts.append(str(store_era.NO_ERA))
+        min_end_offset, min_era = (
+            [untrusted_data.decode_digits(text, MAX_OFFSET) for text in texts]
+            if len(texts) == 2
+            else (None, None)
+        )
         if (
             document is None
             or not request.path.startswith(COPIES_PATH)
-            or len(texts) not in (1, 2)
-            or not all(text.isdigit() for text in texts)
+            or min_end_offset is None
+            or min_era is None
         ):
             return messages.local_response(404, "there is nothing here")
-        min_end_offset = int(texts[0])
-        min_era = int(texts[1]) if len(texts) == 2 else store_era.NO_ERA
         try:
             async with asyncio.timeout(SOURCE_WAIT_S):
                 while document.copy is None or (
@@ -291,6 +298,7 @@
     try:
         decoder = zlib.decompressobj()
         content = decoder.decompress(data, receiving.INTERNAL_LIMITS.body_bytes)
-        return msgspec.msgpack.decode(content, type=DocumentCopy)
-    except (zlib.error, msgspec.DecodeError):
+        copy: DocumentCopy = untrusted_data.decode_msgpack(content, DocumentCopy)
+    except (zlib.error, untrusted_data.UndecodableError):
         return None
+    return copy
--- a/src/wasabivalve/vm_link/core.py
+++ b/src/wasabivalve/vm_link/core.py
@@ -168,7 +168,7 @@
     """Return the decoded message, or None if the bytes are not a valid message."""
     try:
         return _DECODER.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
 
 
--- a/src/wasabivalve/vm_link/vm_directory.py
+++ b/src/wasabivalve/vm_link/vm_directory.py
@@ -1,10 +1,11 @@
 """Keep the addresses, data centres and link rates of the registered entry VMs."""
 
+import ipaddress
 import math
 
 import msgspec
 
-from wasabivalve import rendezvous
+from wasabivalve import rendezvous, untrusted_data
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.placement import core as placement
 
@@ -25,6 +26,8 @@
 With more VMs, the share of each in the load of an instance matters less.
 """
 
+MAX_PORT = 65_535
+
 RELAY_ORDER_KEY = "relay"
 """Key of the hash that orders VMs with equal link rates."""
 
@@ -75,9 +78,8 @@
             if record.key != self._vm:
                 self.registration_by_vm.pop(record.key, None)
             return True
-        try:
-            registration = msgspec.json.decode(record.value, type=VmRegistration)
-        except msgspec.DecodeError:
+        registration = _decode_registration(record.value)
+        if registration is None:
             return False
         if record.key == self._vm:
             self.recorded_own_registration = registration
@@ -189,3 +191,14 @@
             ),
         )
         return [self.registration_by_vm[vm].address for vm in ranked]
+
+
+def _decode_registration(data: bytes) -> VmRegistration | None:
+    """Return a registration, or None if no message can be sent to its address."""
+    try:
+        registration: VmRegistration = untrusted_data.decode_json(data, VmRegistration)
+        ipaddress.ip_address(registration.host)
+    except (untrusted_data.UndecodableError, ValueError):
+        return None
+    has_port = 1 <= registration.port <= MAX_PORT
+    return registration if has_port and registration.link_mbps >= 0.0 else None
