Read numbers of thousands of digits in headers as invalid ones

What callers saw: a request with a key of 5,000 digits, which is legal in size, was ended by a reset connection without a response. A load report of an instance with such a figure failed the request that it came with.

Cause: bytes.isdigit() was the only check before int(), which refuses more than 4,300 digits with ValueError.

Change: keys and load figures are read with a bound.

Evidence: test_caller_with_a_key_of_thousands_of_digits_gets_an_answer failed with ConnectionResetError, test_headers_with_numbers_too_long_for_the_interpreter with ValueError. Such a key is now answered like any other invalid one.

--- a/src/wasabivalve/platform/headers.py
+++ b/src/wasabivalve/platform/headers.py
@@ -2,18 +2,20 @@
 
 import math
 
+from wasabivalve import untrusted_data
 from wasabivalve.gateway import messages
 
 MAX_KEY = 65_535
 
+MAX_LOAD_FIGURE = 10**9
+"""Largest number of requests or slots in a load report that is believed."""
+
 USUAL_SLOWNESS = 100.0
 """Fourth figure of a load report if work takes as long as usual."""
 
 
 def _decode_key(value: bytes) -> int | None:
-    if value.isdigit() and int(value) <= MAX_KEY:
-        return int(value)
-    return None
+    return untrusted_data.decode_digits(value, MAX_KEY)
 
 
 def _decode_time_left(value: bytes) -> float | None:
@@ -35,9 +37,14 @@
     The fourth figure is optional. Without a valid one, the other three still count.
     """
     fields = [field.strip() for field in value.split(b",")]
-    if len(fields) not in (3, 4) or not all(field.isdigit() for field in fields[:3]):
+    figures = [
+        figure
+        for field in fields[:3]
+        if (figure := untrusted_data.decode_digits(field, MAX_LOAD_FIGURE)) is not None
+    ]
+    if len(fields) not in (3, 4) or len(figures) != 3:
         return None
-    running, waiting, slots = (int(field) for field in fields[:3])
+    running, waiting, slots = figures
     slowness = _decode_slowness(fields[3]) if len(fields) == 4 else None
     return messages.InstanceLoadReport(running, waiting, slots, slowness)
 
--- a/src/wasabivalve/platform/tests/test_foreign_values.py
+++ b/src/wasabivalve/platform/tests/test_foreign_values.py
@@ -13,6 +13,7 @@
     assignment_log,
     desired_state,
     facts,
+    headers,
     instances,
     operator_records,
     settings,
@@ -175,6 +176,35 @@
         assert store._read_integer(trimmed, "first") == -1
 
 
+def test_headers_with_numbers_too_long_for_the_interpreter():
+    """A header of thousands of digits is legal; it must be read as an invalid one."""
+    header_format = headers.HEADER_FORMAT
+    digits = LONG_NUMBER.encode()
+    assert header_format.decode_key(digits) is None
+    assert header_format.decode_load_report(digits + b",0,2") is None
+    assert header_format.decode_time_left(digits) is None
+    assert header_format.decode_request_limit(digits) is None
+
+
+def test_caller_with_a_key_of_thousands_of_digits_gets_an_answer():
+    """The connection was closed without a response."""
+
+    async def scenario(stand_in, plain, keyed, vm_settings, vm):
+        stand_in.put("keyed.op", "config", test_entry_vm.encode_desired_state(2))
+        served = test_entry_vm.check_served(vm_settings, "/plain/x")
+        await test_entry_vm.wait_until(served)
+        responses = [
+            await test_entry_vm.send_request(
+                vm_settings.caller_listen_address, "/keyed/x", f"Shard-Key: {key}\r\n"
+            )
+            for key in ("odd", LONG_NUMBER)
+        ]
+        assert responses[0] is not None
+        assert responses[0] == responses[1]
+
+    test_entry_vm.run_scenario(scenario)
+
+
 def test_request_for_a_document_copy_with_odd_digits():
     """Digits of other scripts and of thousands of places name no offset."""
 
