Keep tasks running after an unexpected error, and report those that can't

Cause: TopicFollower.run ended with any error of a handler, and nobody looked at the task; the same held for the group member, the tick, the in-flight counts and the append of crash facts. Errors of callbacks and of calls to instances were printed on another stream than the events, if at all.

Change: a follower skips a record on which its handler fails (WV0208). A supervisor runs the long-lived tasks: an error is logged with task and place (WV0005) and the task starts again after 1 s, a follower with a new listing. One that fails three times in close succession is named on the readiness page (503) and counted by task.failing. The event loop's own reports become events.

Evidence: with the previous follower, facts and core in place test_record_whose_handling_fails_is_skipped, test_listing_whose_handling_fails_is_made_again, test_facts_are_recorded_after_an_append_that_failed_unexpectedly and test_vm_whose_follower_keeps_failing_does_not_look_well fail. Why it works: whatever a handler raises, the task goes on or the VM says that it does not.

--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -27,6 +27,7 @@
     (205, "WARNING", "the store names a new era; it was restored from a copy"),
     (206, "WARNING", "a topic ends before the position of this VM; it is listed again"),
     (207, "INFO", "the store names its era"),
+    (208, "ERROR", "record was skipped, as handling it raised an unexpected exception"),
     # Ownership, 300 to 399.
     (300, "INFO", "this VM gained authority over a shard"),
     (301, "WARNING", "this VM lost authority over a shard"),
--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from typing import Any
 
-from wasabivalve import events
+from wasabivalve import events, supervision
 from wasabivalve.placement import core as placement
 
 from . import (
@@ -231,7 +231,7 @@
                 await step()
             except Exception as error:
                 # One failed round must not end the control of all keys.
-                events.emit(5, where="key controller", error=repr(error))
+                supervision.log_error("key controller", error)
             await asyncio.sleep(interval_ms / 1000.0)
 
     def _has_authority(self) -> bool:
@@ -398,11 +398,15 @@
     ) -> None:
         task = asyncio.get_running_loop().create_task(call)
         self._pending_calls.add(task)
-        task.add_done_callback(self._pending_calls.discard)
+        task.add_done_callback(self._on_call_done)
         if pending_grants is not None:
             pending_grants.add(task)
             task.add_done_callback(pending_grants.discard)
 
+    def _on_call_done(self, task: asyncio.Task[None]) -> None:
+        self._pending_calls.discard(task)
+        supervision.log_task_error("key controller: call to an instance", task)
+
     async def _send_grant(
         self, lease: leases.RangeLease, instance: placement.RegisteredInstance
     ) -> None:
--- a/src/wasabivalve/key_leases/moves.py
+++ b/src/wasabivalve/key_leases/moves.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import NamedTuple
 
-from wasabivalve import events
+from wasabivalve import events, supervision
 from wasabivalve.placement import core as placement
 
 from . import assignment_log, core, leases, planning, view
@@ -279,11 +279,10 @@
         while release_by_task:
             await asyncio.wait(release_by_task, return_when=asyncio.FIRST_COMPLETED)
             await asyncio.sleep(RELEASE_GROUPING_S)
-            ended = [
-                release_by_task.pop(task)
-                for task in list(release_by_task)
-                if task.done()
-            ]
+            done_tasks = [task for task in release_by_task if task.done()]
+            for task in done_tasks:
+                supervision.log_task_error("key controller: release for a move", task)
+            ended = [release_by_task.pop(task) for task in done_tasks]
             if self._writer.term != term or not self._actions.has_authority():
                 # These leases belong to a term that has ended.
                 return
--- a/src/wasabivalve/keyed_log/core.py
+++ b/src/wasabivalve/keyed_log/core.py
@@ -3,10 +3,10 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
 
-from wasabivalve import events
+from wasabivalve import events, supervision, untrusted_data
 
 from . import outage
 
@@ -64,6 +64,26 @@
     value: bytes | None
 
 
+def handle_each(
+    topic: str, records: Iterable[Record], handle: Callable[[Record], object]
+) -> None:
+    """Pass each record to a function; log and skip those on which it fails.
+
+    One record must not keep the others from taking effect.
+    """
+    for record in records:
+        try:
+            handle(record)
+        except Exception as error:
+            events.emit(
+                208,
+                topic=topic,
+                offset=record.offset,
+                key=untrusted_data.excerpt(record.key),
+                error=untrusted_data.excerpt(error, supervision.MAX_ERROR_CHARACTERS),
+            )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
     """Hold records and the offset of the next one."""
@@ -162,10 +182,20 @@
         return self._next_offset
 
     async def run(self) -> None:
-        """Follow until cancelled; while other VMs relay the topic, read only gaps."""
+        """Follow until cancelled; while other VMs relay the topic, read only gaps.
+
+        An unexpected error is raised to whoever runs this; the next run lists the topic
+        again.
+        """
         while True:
             is_first_listing = self._next_offset is None and self._is_first_listing
-            await self._wait(await self.poll())
+            try:
+                delay_s = await self.poll()
+            except Exception:
+                # What was delivered of the listing or the batch is not known.
+                self._restart(0)
+                raise
+            await self._wait(delay_s)
             if is_first_listing and self._next_offset is not None:
                 # VMs that relay read first; their relays may make this read needless.
                 await self._wait(self._stagger_s())
@@ -210,9 +240,7 @@
         if first_offset <= self._next_offset:
             # Removals after an outage are handled differently, so it is noted first.
             self._on_success()
-            for record in records:
-                if record.offset >= self._next_offset:
-                    self._handlers.on_record(record)
+            self._deliver(records, self._next_offset)
             self._next_offset = end_offset
             self._has_gap = False
             self._relay_valid_until = self._clock() + validity_s
@@ -307,15 +335,20 @@
         if self._next_offset != offset:
             # A relay that arrived during the read has advanced the position.
             return 0.0
-        for record in result.records:
-            if record.offset >= offset:
-                self._handlers.on_record(record)
+        self._deliver(result.records, offset)
         if result.records:
             self._next_offset = max(offset, result.records[-1].offset + 1)
         if self._handlers.on_read is not None:
             self._handlers.on_read(offset, self._next_offset, result.records)
         return self._times.poll_interval_s
 
+    def _deliver(self, records: list[Record], first_offset: int) -> None:
+        handle_each(
+            self.name,
+            (record for record in records if record.offset >= first_offset),
+            self._handlers.on_record,
+        )
+
     def _on_success(self) -> None:
         if self._failures:
             events.emit(201, topic=self.name, failures=self._failures)
--- a/src/wasabivalve/keyed_log/tests/test_follower.py
+++ b/src/wasabivalve/keyed_log/tests/test_follower.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from wasabivalve import supervision
 from wasabivalve.keyed_log import core, outage
 
 
@@ -334,3 +335,56 @@
     """A controller that dies right after a change must not delay it past its bound."""
     longest_wait_s = core.relay_validity_s(max_staleness_s) + 2 * 0.25
     assert longest_wait_s <= max_staleness_s - 1.0
+
+
+def test_record_whose_handling_fails_is_skipped():
+    """One record once ended the task that delivers all records."""
+    topic = Topic()
+    topic.poll()
+    handled = []
+
+    def on_record(record):
+        if record.value == b"odd":
+            raise RecursionError
+        handled.append(record.key)
+
+    topic.follower._handlers = topic.follower._handlers._replace(on_record=on_record)
+    for key, value in (("a", b"1"), ("b", b"odd"), ("c", b"1")):
+        topic.append_record(key, value)
+    topic.poll()
+    assert handled == ["a", "c"]
+    assert topic.follower.next_offset == 3
+    topic.append_record("d", b"odd")
+    topic.append_record("e", b"1")
+    topic.follower.on_relay(3, 5, topic.records[3:])
+    assert handled == ["a", "c", "e"]
+    assert topic.follower.next_offset == 5
+
+
+def test_listing_whose_handling_fails_is_made_again(monkeypatch):
+    """A follower must not go on from the end of a listing that had no effect."""
+    monkeypatch.setattr(supervision, "RESTART_DELAY_S", 0.01)
+
+    async def main():
+        topic = Topic()
+        topic.append_record("a", b"1")
+        failures = [KeyError("x")]
+        times = core.FollowTimes(0.01, 0.0, 0.0, 0.01)
+        follower = build_follower(topic, times, stagger_s=0.0)
+
+        def on_listing(records):
+            if failures:
+                raise failures.pop()
+            topic._on_listing(records)
+
+        follower._handlers = follower._handlers._replace(on_listing=on_listing)
+        supervisor = supervision.TaskSupervisor()
+        supervisor.start("follower", follower.run)
+        await asyncio.sleep(0.1)
+        assert topic.value_by_key == {"a": b"1"}
+        topic.append_record("b", b"1")
+        await asyncio.sleep(0.1)
+        assert topic.value_by_key == {"a": b"1", "b": b"1"}
+        supervisor.close()
+
+    asyncio.run(main())
--- a/src/wasabivalve/metrics/core.py
+++ b/src/wasabivalve/metrics/core.py
@@ -35,6 +35,8 @@
         "instances whose pace this VM looks for as dispatcher",
     ),
     ("instance.evacuated_data_centres", "gauge", "evacuated data centres"),
+    ("task.errors", "gauge", "unexpected errors of long-lived tasks since the start"),
+    ("task.failing", "gauge", "long-lived tasks that fail again and again"),
     ("transfer.delayed", "counter", "requests that waited for room on the VM's link"),
     ("transfer.refused", "counter", "requests refused for lack of room on the link"),
     ("permit.wait", "timing", "time that a request waited for a slot, ms"),
--- a/src/wasabivalve/platform/__main__.py
+++ b/src/wasabivalve/platform/__main__.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 
-from wasabivalve import events
+from wasabivalve import events, supervision
 
 from . import core, settings
 
@@ -23,6 +23,7 @@
 async def _run(settings_path: pathlib.Path, vm_settings: settings.VmSettings) -> None:
     entry_vm = core.EntryVM(vm_settings)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(supervision.log_loop_error)
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
--- a/src/wasabivalve/platform/assignment_log.py
+++ b/src/wasabivalve/platform/assignment_log.py
@@ -33,8 +33,7 @@
 
     def on_listing(self, records: Sequence[keyed_log.Record]) -> None:
         """Handle the maps of a listing of the topic."""
-        for record in records:
-            self.on_record(record)
+        keyed_log.handle_each(ASSIGNMENT_LOG_TOPIC, records, self.on_record)
 
     def on_record(self, record: keyed_log.Record) -> None:
         """Handle one record; log one that can't be decoded."""
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable, Sequence
 
-from wasabivalve import events, shared_facts
+from wasabivalve import events, shared_facts, supervision
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.gateway import core as gateway
 from wasabivalve.gateway import instance_selection, internal_http, messages
@@ -316,7 +316,7 @@
             self._store_outage,
         )
         self._internal_servers: list[asyncio.Server] = []
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervision.TaskSupervisor()
 
     def is_ready(self) -> bool:
         """Return whether this VM accepts requests."""
@@ -393,20 +393,29 @@
             follower.name: follower for follower in followers
         }
         self._store_era.add_listener(self._on_store_restored)
-        self._tasks = [self._loop.create_task(follower.run()) for follower in followers]
-        self._tasks.append(self._loop.create_task(self._group_member.run()))
-        self._tasks.append(self._loop.create_task(self._tick()))
-        self._tasks.append(self._loop.create_task(self._send_in_flight_counts()))
+        for follower in followers:
+            self._supervisor.start(f"follower of {follower.name}", follower.run)
+        self._supervisor.start("group member", self._group_member.run)
+        self._supervisor.start("tick", self._tick)
+        self._supervisor.start("in-flight counts", self._send_in_flight_counts)
         events.emit(1, vm=self._settings.vm, data_centre=self._settings.data_centre)
 
     def _readiness_response(self) -> messages.HttpResponse:
+        failing = self._supervisor.failing_names()
+        if failing:
+            # It may act by what it knew before. Its peers and the election of the
+            # controller don't depend on this: all VMs may fail in the same way.
+            return messages.local_response(503, f"failing: {', '.join(failing)}")
         if self.is_ready():
             return messages.local_response(200, "ready")
         return messages.local_response(503, "not ready")
 
     def _metrics_response(self) -> messages.HttpResponse:
         evacuated = self._operator_records.evacuated.data_centres
-        self._gateway.metrics.gauge("instance.evacuated_data_centres", len(evacuated))
+        gauge = self._gateway.metrics.gauge
+        gauge("instance.evacuated_data_centres", len(evacuated))
+        gauge("task.errors", self._supervisor.error_count)
+        gauge("task.failing", len(self._supervisor.failing_names()))
         return metrics_page.render(
             self._gateway,
             self._store_client,
@@ -441,8 +450,8 @@
             if not self._gateway.busy_connections and not must_renew_leases:
                 break
             await asyncio.sleep(0.05)
-        for task in (leave_task, *self._tasks):
-            task.cancel()
+        leave_task.cancel()
+        self._supervisor.close()
         self._controller.close()
         self._dispatch_node.close()
         self._fact_sharing.close()
@@ -577,11 +586,14 @@
     # Instances.
 
     def _on_instances_listing(self, records: Sequence[keyed_log.Record]) -> None:
-        decoded = [
-            instance
-            for record in records
-            if (instance := self._decode_instance(record)) is not None
-        ]
+        decoded: list[placement.RegisteredInstance] = []
+
+        def add(record: keyed_log.Record) -> None:
+            instance = self._decode_instance(record)
+            if instance is not None:
+                decoded.append(instance)
+
+        keyed_log.handle_each(INSTANCES_TOPIC, records, add)
         self._instance_directory.on_listing(decoded, self._now_ms())
         if not self._instances_listed:
             self._instances_listed = True
--- a/src/wasabivalve/platform/facts.py
+++ b/src/wasabivalve/platform/facts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from wasabivalve import events, shared_facts, untrusted_data
+from wasabivalve import events, shared_facts, supervision, untrusted_data
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.shared_facts import crash_evidence
 
@@ -109,8 +109,7 @@
 
     def on_listing(self, records: Sequence[keyed_log.Record]) -> None:
         """Record the facts of a listing of the topic."""
-        for record in records:
-            self.on_record(record)
+        keyed_log.handle_each(FACTS_TOPIC, records, self.on_record)
 
     def on_record(self, record: keyed_log.Record) -> None:
         """Record the facts of one record; log one that can't be decoded."""
@@ -171,6 +170,12 @@
                 self._unrecorded.add(subject)
         if self._unrecorded and self._append_task is None:
             self._append_task = self._loop.create_task(self._append())
+            self._append_task.add_done_callback(self._on_appended)
+
+    def _on_appended(self, task: asyncio.Task[None]) -> None:
+        """Let the next tick append again what an unexpected error has left."""
+        self._append_task = None
+        supervision.log_task_error("record of facts", task)
 
     async def _append(self) -> None:
         """Append until the store has confirmed all subjects."""
@@ -190,7 +195,6 @@
             else:
                 self._unrecorded.add(subject)
                 await asyncio.sleep(APPEND_RETRY_INTERVAL_S)
-        self._append_task = None
 
     def _receive(self, facts: Sequence[shared_facts.Fact], source: str) -> None:
         news = self.board.receive(facts, self._now_ms())
--- a/src/wasabivalve/platform/operator_records.py
+++ b/src/wasabivalve/platform/operator_records.py
@@ -75,9 +75,8 @@
             record.key.removeprefix(EVACUATION_PREFIX) for record in evacuations
         )
         self._report_evacuations(changed)
-        for record in records:
-            if record.key == DESIRED_STATE_KEY:
-                self.on_record(record)
+        states = [record for record in records if record.key == DESIRED_STATE_KEY]
+        keyed_log.handle_each(TOPIC, states, self.on_record)
 
     def on_record(self, record: keyed_log.Record) -> None:
         """Apply a record."""
--- a/src/wasabivalve/platform/tests/test_foreign_values.py
+++ b/src/wasabivalve/platform/tests/test_foreign_values.py
@@ -5,12 +5,14 @@
 import msgspec
 import pytest
 
+from wasabivalve import shared_facts, supervision
 from wasabivalve.gateway import messages
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.keyed_log import core as keyed_log
 from wasabivalve.placement import core as placement
 from wasabivalve.platform import (
     assignment_log,
+    core,
     desired_state,
     facts,
     headers,
@@ -256,3 +258,74 @@
         await test_entry_vm.wait_until(leaves)
 
     test_entry_vm.run_scenario(scenario)
+
+
+def test_vm_whose_follower_keeps_failing_does_not_look_well(monkeypatch):
+    """A VM that can't apply listings acts by what it knew, and has to say so."""
+    monkeypatch.setattr(supervision, "RESTART_DELAY_S", 0.05)
+
+    async def scenario(stand_in, plain, keyed, vm_settings, vm):
+        stand_in.put("keyed.op", "config", test_entry_vm.encode_desired_state(2))
+        served = test_entry_vm.check_served(vm_settings, "/plain/x")
+        await test_entry_vm.wait_until(served)
+
+        async def readiness():
+            response = await test_entry_vm.send_request(
+                vm_settings.readiness_listen_address, core.READINESS_PATH
+            )
+            return response[0]
+
+        assert await readiness() == 200
+        apply_listing = vm._instance_directory.on_listing
+
+        def fail(instances, now):
+            raise ArithmeticError
+
+        vm._instance_directory.on_listing = fail
+        stand_in.restore({**stand_in.copy_end_offsets()})
+
+        async def is_unwell():
+            return await readiness() == 503
+
+        await test_entry_vm.wait_until(is_unwell)
+        assert vm.is_ready() and await served()
+        vm._instance_directory.on_listing = apply_listing
+        monkeypatch.setattr(supervision, "STEADY_S", 0.5)
+
+        async def is_well():
+            return await readiness() == 200
+
+        await test_entry_vm.wait_until(is_well)
+        stand_in.put("keyed.op", "config", test_entry_vm.encode_desired_state(3))
+
+    test_entry_vm.run_scenario(scenario)
+
+
+def test_facts_are_recorded_after_an_append_that_failed_unexpectedly():
+    """The task that writes facts ended, and nothing was recorded from then on."""
+
+    async def main():
+        appended = []
+
+        class Store:
+            async def append(self, topic, key, value):
+                if not appended:
+                    appended.append("failed")
+                    raise ArithmeticError
+                appended.append(key)
+                return "done"
+
+        sharing = facts.FactSharing(
+            Store(), lambda news: None, lambda: True, lambda news: None, lambda: 0
+        )
+        crash = shared_facts.FactKind.CRASH
+        now = sharing._now_ms()
+        for member in ("i-1@1", "i-2@1"):
+            sharing.board.observe(crash, "fingerprint", member, 1.0, now)
+        await asyncio.sleep(0.1)
+        assert appended == ["failed"]
+        sharing._record(["fingerprint"])
+        await asyncio.sleep(0.1)
+        assert appended == ["failed", "fingerprint"]
+
+    asyncio.run(main())
--- a/src/wasabivalve/platform/warmup_probes.py
+++ b/src/wasabivalve/platform/warmup_probes.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from wasabivalve import ramp_up, shared_facts
+from wasabivalve import ramp_up, shared_facts, supervision
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.placement import core as placement
 
@@ -38,6 +38,10 @@
         left_ms = await client.warmup_left_ms(instance, PROBE_TIMEOUT_MS)
         limits.on_warmup_report(instance, left_ms, SECOND_MS * loop.time())
 
+    def on_probed(task: asyncio.Task[None]) -> None:
+        tasks.discard(task)
+        supervision.log_task_error("warm-up probe", task)
+
     def on_recovered(instance: placement.RegisteredInstance) -> None:
         now = loop.time()
         if now < probed_at_by_id.get(instance.id, -MIN_INTERVAL_S) + MIN_INTERVAL_S:
@@ -47,7 +51,7 @@
         probed_at_by_id[instance.id] = now
         task = loop.create_task(probe(instance))
         tasks.add(task)
-        task.add_done_callback(tasks.discard)
+        task.add_done_callback(on_probed)
 
     limits = ramp_up.PacedLimits(board, find_service, bounds, on_recovered=on_recovered)
     return limits
--- a/src/wasabivalve/slot_dispatch/node.py
+++ b/src/wasabivalve/slot_dispatch/node.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Iterable, Sequence
 
-from wasabivalve import events, ramp_up
+from wasabivalve import ramp_up, supervision
 from wasabivalve.placement import core as placement
 
 from . import client, core, messages
@@ -117,7 +117,7 @@
                 self._tick(sends_held=tick % ticks_per_list == 0)
             except Exception as error:
                 # One failed round must not end the assignment of all slots.
-                events.emit(5, where="slot dispatch", error=repr(error))
+                supervision.log_error("slot dispatch", error)
 
     def _tick(self, sends_held: bool) -> None:
         now = self._now_ms()
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -176,8 +176,7 @@
     def on_vms_listing(self, records: Sequence[keyed_log.Record]) -> None:
         """Apply the registrations of a listing."""
         self.directory.start_listing()
-        for record in records:
-            self.on_vm_record(record)
+        keyed_log.handle_each(self._topics.vms, records, self.on_vm_record)
 
     def relay(
         self, topic: str, first: int, end: int, records: list[keyed_log.Record]
