Count VMs that are heard but not listed in limits that all VMs share

Cause: a VM takes an equal part of what all VMs may use together, by the number of VMs in the store's list. A restored list may lack a VM that is cut off from the store and uses its part as well.

Change: VMs whose messages arrived within the last 10 s count too.

Evidence: test_vm_that_the_restored_list_lacks_shares_limits failed before (two VMs, of which the second counted for nothing). The count is kept by the tick, as requests read it.

--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -258,11 +258,7 @@
                 lambda service, key: self._key_view.admit_key(
                     service, key, self._now_ms()
                 ),
-                lambda: (
-                    len(known_vms.registration_by_vm)
-                    if self._vms_listed.is_set()
-                    else 0
-                ),
+                lambda: self._exchange.vm_count if self._vms_listed.is_set() else 0,
                 lambda service, key: self._key_loads.count_request(
                     service, key, self._now_ms()
                 ),
@@ -718,3 +714,4 @@
             self._fact_sharing.tick()
             self._gateway.pool.close_expired(self._loop.time())
             self._exchange.report_traffic()
+            self._exchange.update_vm_count()
--- a/src/wasabivalve/vm_link/exchange.py
+++ b/src/wasabivalve/vm_link/exchange.py
@@ -131,6 +131,7 @@
         self._endpoint = core.DatagramEndpoint(self._on_message)
         self._live_addresses = multicast.LiveAddresses()
         self._duplicate_filter = multicast.DuplicateFilter()
+        self._unlisted_count = 0
         self._generator = random.Random()
         self._relay_validity_s = relay_validity_s
         self._unknown_map_since: float | None = None
@@ -153,6 +154,21 @@
             else self._loop.time() - self._controller_relay_at
         )
 
+    @property
+    def vm_count(self) -> int:
+        """Return the number of VMs that share what all of them may use together.
+
+        A restored store may have forgotten a VM that is cut off from it but sends
+        messages.
+        """
+        return len(self.directory.registration_by_vm) + self._unlisted_count
+
+    def update_vm_count(self) -> None:
+        """Count the VMs that are heard but not listed."""
+        self._unlisted_count = self._live_addresses.count_live_beside(
+            self.directory.addresses, self._loop.time()
+        )
+
     @property
     def stagger_s(self) -> float:
         """Return by how many s this VM waits longer for relays than the first one."""
--- a/src/wasabivalve/vm_link/multicast.py
+++ b/src/wasabivalve/vm_link/multicast.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from . import core
@@ -23,6 +23,11 @@
 HEARD_TTL_S = 2.0
 """Time after a message of a VM for which it is preferred as a forwarder."""
 
+UNLISTED_TTL_S = 10.0
+"""Time after a message of a VM that is not listed for which it counts as running.
+
+Limits that VMs share are kept over a window of that length.
+"""
 
 DUPLICATE_WINDOW_S = 0.3
 """Time in which an equal message is the copy of the other forwarder.
@@ -67,6 +72,17 @@
         """Record a message."""
         self._heard_at_by_address[sender] = now
 
+    def count_live_beside(
+        self, listed: Collection[core.SocketAddress], now: float
+    ) -> int:
+        """Return how many other addresses than the listed ones are in use."""
+        earliest = now - UNLISTED_TTL_S
+        return sum(
+            1
+            for address, heard_at in self._heard_at_by_address.items()
+            if heard_at >= earliest and address not in listed
+        )
+
     def filter_live(
         self, addresses: Sequence[core.SocketAddress], now: float
     ) -> list[core.SocketAddress]:
--- a/src/wasabivalve/vm_link/tests/test_store_era.py
+++ b/src/wasabivalve/vm_link/tests/test_store_era.py
@@ -1,6 +1,7 @@
 """Test that relays and copies of an older era of the store are not believed."""
 
 import asyncio
+import types
 
 import pytest
 
@@ -90,3 +91,27 @@
         assert {message.era for message, _ in vm_exchange._endpoint.sent} == {3}
 
     asyncio.run(main())
+
+
+def test_vm_that_the_restored_list_lacks_shares_limits():
+    """A VM with the restored list alone would use the part of the other one as well."""
+
+    async def main():
+        vm_exchange = test_relaying.build_exchange("vm-1", {"vm-1": 5.0}, leads=False)
+        listed = vm_exchange.vm_count
+        vm_exchange._on_message(core.InFlightCounts("vm-9", {}), ("127.0.0.9", 9))
+        vm_exchange.update_vm_count()
+        assert vm_exchange.vm_count == listed + 1
+        registration = b'{"host":"127.0.0.9","port":9,"data_centre":"x","link_mbps":1}'
+        vm_exchange.on_vm_record(keyed_log.Record(0, "vm-9", registration))
+        vm_exchange.update_vm_count()
+        assert vm_exchange.vm_count == listed + 1
+        # A VM whose address is not listed counts only for a time.
+        vm_exchange.on_vm_record(keyed_log.Record(1, "vm-9", None))
+        vm_exchange._loop = types.SimpleNamespace(
+            time=lambda: asyncio.get_running_loop().time() + 11.0
+        )
+        vm_exchange.update_vm_count()
+        assert vm_exchange.vm_count == listed
+
+    asyncio.run(main())
--- a/src/wasabivalve/vm_link/vm_directory.py
+++ b/src/wasabivalve/vm_link/vm_directory.py
@@ -60,6 +60,7 @@
         self._vm = vm
         self._topology = topology
         self._region_vms: tuple[str, ...] | None = None
+        self._addresses: frozenset[core.SocketAddress] | None = None
         self._ranked_by_key_and_region: dict[tuple[str, str], tuple[str, ...]] = {}
 
     def start_listing(self) -> None:
@@ -72,7 +73,7 @@
 
     def on_record(self, record: keyed_log.Record) -> bool:
         """Apply a registration or its removal; return False if it is not valid."""
-        self._region_vms = None
+        self._region_vms = self._addresses = None
         self._ranked_by_key_and_region.clear()
         if record.value is None:
             if record.key != self._vm:
@@ -92,6 +93,16 @@
         """Return the data centre of this VM."""
         return self.registration_by_vm[self._vm].data_centre
 
+    @property
+    def addresses(self) -> frozenset[core.SocketAddress]:
+        """Return the addresses of all VMs."""
+        if self._addresses is None:
+            self._addresses = frozenset(
+                registration.address
+                for registration in self.registration_by_vm.values()
+            )
+        return self._addresses
+
     def other_addresses_by_data_centre(
         self, only_own_region: bool = False
     ) -> dict[str, list[core.SocketAddress]]:
