Give odd records and messages no effect in the threaded daemon

Cause: values are compared, printed or decoded before they are checked: the kind and the version of a control record, a nested specification, a nested message of a peer, the offset in a peer's reply, a server's reply to a command, a settings file. What they raise is none of the errors that the callers handle.

Change: they are checked or decoded by untrusted_data first; a command whose reply has another form counts as failed, as its lease waited for it for ever.

--- a/src/wasabivalve/burn/merging.py
+++ b/src/wasabivalve/burn/merging.py
@@ -94,7 +94,7 @@
         summary: records_generated.BurnSummary = msgspec.convert(
             record, records_generated.BurnSummary
         )
-    except msgspec.ValidationError:
+    except (msgspec.ValidationError, RecursionError):
         return None
     has_negative_count = any(
         min(_counts_of_entry(entry)) < 0 for entry in summary["entries"]
--- a/src/wasabivalve/cli/options.py
+++ b/src/wasabivalve/cli/options.py
@@ -207,7 +207,7 @@
 def _read_keys(path: pathlib.Path) -> dict[str, str]:
     try:
         document = json.loads(path.read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise click.UsageError(f"cannot read the keys file {path}: {error}") from error
     if isinstance(document, dict) and "operator_keys" in document:
         document = document["operator_keys"]
--- a/src/wasabivalve/entry/log_relay.py
+++ b/src/wasabivalve/entry/log_relay.py
@@ -1,5 +1,6 @@
 """Access the log service directly, through a peer, or read a peer's copy of it."""
 
+import functools
 import threading
 from collections.abc import Callable, Sequence
 from concurrent import futures
@@ -7,7 +8,7 @@
 
 import msgspec
 
-from wasabivalve import peers, platform_log
+from wasabivalve import peers, platform_log, supervision, untrusted_data
 from wasabivalve.schema import messages_generated
 
 RELAY_TIMEOUT_MS = 1_500.0
@@ -15,6 +16,7 @@
 MAX_RELAY_PEERS = 3
 # A relayed read returns immediately: a long poll would occupy a thread of the peer.
 MAX_RELAYED_RECORDS = 500
+MAX_OFFSET = 2**63 - 1
 MAX_COPIED_RECORDS = 50_000
 
 AppendResult = (
@@ -149,10 +151,13 @@
     def on_relay_request(self, incoming: peers.IncomingMessage) -> None:
         """Process a relay request of a peer on another thread."""
         try:
-            self._executor.submit(self._handle_relay_request, incoming)
+            future = self._executor.submit(self._handle_relay_request, incoming)
         except RuntimeError:
             # The executor is shut down: the process stops.
             return
+        future.add_done_callback(
+            functools.partial(supervision.log_future_error, "log relay")
+        )
 
     def _read_through_peers(self, stream: str, offset: int) -> SourcedRead | None:
         copy_read = None
@@ -161,7 +166,7 @@
             if reply is None or reply["outcome"] == "unavailable":
                 continue
             if reply["outcome"] == "gap":
-                result: ReadResult | None = platform_log.Gap(int(reply["payload"]))
+                result: ReadResult | None = _decode_gap(reply["payload"])
             else:
                 result = _decode_batch(reply["payload"])
             if result is not None and reply["outcome"] == "batch":
@@ -208,8 +213,10 @@
         self, request: messages_generated.LogRelayRequest
     ) -> tuple[str, bytes]:
         try:
-            records = msgspec.json.decode(request["records"], type=list[dict[str, Any]])
-        except msgspec.DecodeError as error:
+            records = untrusted_data.decode_json(
+                request["records"], list[dict[str, Any]]
+            )
+        except untrusted_data.UndecodableError as error:
             return "unavailable", str(error).encode()
         result = self._direct_client.append(request["stream"], records)
         if isinstance(result, platform_log.Appended):
@@ -239,6 +246,14 @@
 
 def _decode_batch(payload: bytes) -> platform_log.ReadBatch | None:
     try:
-        return msgspec.json.decode(payload, type=platform_log.ReadBatch)
-    except msgspec.DecodeError:
+        batch: platform_log.ReadBatch = untrusted_data.decode_json(
+            payload, platform_log.ReadBatch
+        )
+    except untrusted_data.UndecodableError:
         return None
+    return batch
+
+
+def _decode_gap(payload: bytes) -> platform_log.Gap | None:
+    oldest_offset = untrusted_data.decode_digits(payload, MAX_OFFSET)
+    return None if oldest_offset is None else platform_log.Gap(oldest_offset)
--- a/src/wasabivalve/entry/observations.py
+++ b/src/wasabivalve/entry/observations.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from wasabivalve import peers, resources
+from wasabivalve import peers, resources, untrusted_data
 from wasabivalve.schema import messages_generated
 
 from . import clock, dispatch
@@ -83,8 +83,8 @@
         """Store the report of a peer; ignore one that cannot be decoded."""
         message: messages_generated.Observation = incoming.message
         try:
-            rows = msgspec.json.decode(message["entries"], type=list[InFlightReport])
-        except msgspec.DecodeError:
+            rows = untrusted_data.decode_json(message["entries"], list[InFlightReport])
+        except untrusted_data.UndecodableError:
             return
         counts = {row["instance"]: row["in_flight"] for row in rows}
         report = _VmReport(
--- a/src/wasabivalve/entry/server_commands.py
+++ b/src/wasabivalve/entry/server_commands.py
@@ -1,5 +1,6 @@
 """Send ownership commands to servers and pass their replies to a callback."""
 
+import functools
 import threading
 from collections.abc import Callable
 from concurrent import futures
@@ -8,7 +9,7 @@
 import msgspec
 import urllib3
 
-from wasabivalve import ownership
+from wasabivalve import ownership, supervision, untrusted_data
 
 from . import upstream_client
 
@@ -21,6 +22,18 @@
 ]
 
 
+UNUSABLE_REPLY_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    untrusted_data.UndecodableError,
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
+"""What a command raises if the reply is missing or has another form than expected."""
+
+
 class CommandSender:
     """Send commands from threads, one renewal at a time per server and shard."""
 
@@ -48,10 +61,13 @@
                     return
                 self._pending_renewals.add((server, command.shard))
         try:
-            self._executor.submit(self._run, server, address, command)
+            future = self._executor.submit(self._run, server, address, command)
         except RuntimeError:
             # The executor is shut down: the process stops.
             return
+        future.add_done_callback(
+            functools.partial(supervision.log_future_error, "server command")
+        )
 
     def close(self) -> None:
         """Discard the commands that have not started and close the connections."""
@@ -68,7 +84,7 @@
         reply = None
         try:
             reply = self._exchange(address, command)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError, KeyError) as error:
+        except UNUSABLE_REPLY_ERRORS as error:
             error_name = type(error).__name__
         finally:
             with self._lock:
@@ -104,7 +120,7 @@
 
 
 def _decode_reply(body: bytes) -> ownership.OwnershipReply:
-    document = msgspec.json.decode(body, type=dict[str, Any])
+    document = untrusted_data.decode_json(body, dict[str, Any])
     return ownership.OwnershipReply(
         bool(document["accepted"]),
         float(document["stamp"]),
--- a/src/wasabivalve/ownership/replay.py
+++ b/src/wasabivalve/ownership/replay.py
@@ -8,12 +8,25 @@
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
+from wasabivalve import untrusted_data
+
 from . import range_lists
 
 SCHEMA_VERSION = 1
 # A duplicate of an older record fails its precondition instead.
 MAX_RECENT_RECORD_IDS = 1024
 MAX_FORMER_SERVERS = 64
+MAX_PROBLEM_CHARACTERS = 200
+
+MALFORMED_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What applying a record raises whose fields have other forms than expected."""
 
 
 class Shard(NamedTuple):
@@ -126,8 +139,9 @@
         shard_or_problem = _APPLY_BY_KIND[record["kind"]](
             state.shard(name), offset, record
         )
-    except (LookupError, TypeError, ValueError, AttributeError) as error:
-        return ControlRecordResult(state, False, f"record is malformed: {error!r}")
+    except MALFORMED_ERRORS as error:
+        shown = untrusted_data.excerpt(error, MAX_PROBLEM_CHARACTERS)
+        return ControlRecordResult(state, False, f"record is malformed: {shown}")
     if isinstance(shard_or_problem, str):
         return ControlRecordResult(state, False, shard_or_problem)
     shards = {**state.shard_by_name, name: shard_or_problem}
@@ -138,11 +152,11 @@
     kind = record.get("kind")
     if kind == "snapshot":
         return "snapshot is not needed"
-    if kind not in _APPLY_BY_KIND:
-        return f"kind {kind!r} is unknown"
+    if not isinstance(kind, str) or kind not in _APPLY_BY_KIND:
+        return f"kind {untrusted_data.excerpt(kind)} is unknown"
     version = record.get("schema_version", SCHEMA_VERSION)
     if version != SCHEMA_VERSION:
-        return f"schema version {version!r} is unknown"
+        return f"schema version {untrusted_data.excerpt(version)} is unknown"
     names = (record.get("record_id"), record.get("shard"))
     if not all(isinstance(name, str) and name for name in names):
         return "record id or shard is missing"
@@ -172,8 +186,9 @@
                 incomplete, False, "chunks of the snapshot are missing"
             )
         restored = _restore_snapshot(chunks)
-    except (LookupError, TypeError, ValueError, AttributeError) as error:
-        return ControlRecordResult(state, False, f"snapshot is malformed: {error!r}")
+    except MALFORMED_ERRORS as error:
+        shown = untrusted_data.excerpt(error, MAX_PROBLEM_CHARACTERS)
+        return ControlRecordResult(state, False, f"snapshot is malformed: {shown}")
     for earlier_offset, earlier_record in state.records_after_gap:
         if earlier_offset >= chunks.covers_offset:
             restored = apply(restored, earlier_offset, earlier_record).state
--- a/src/wasabivalve/peers/codec.py
+++ b/src/wasabivalve/peers/codec.py
@@ -49,5 +49,5 @@
         return None
     try:
         return decoder.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
--- a/src/wasabivalve/resources/replay.py
+++ b/src/wasabivalve/resources/replay.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wasabivalve import untrusted_data
 from wasabivalve.schema import records_generated
 
 from . import rules, signing, specs
@@ -97,7 +98,10 @@
     # Ids of refused records are stored as well: a later copy must not take effect if
     # the first copy did not.
     next_state = _store_record_id(next_state, record_id, offset)
-    problem = _write_problem(state, offset, record)
+    try:
+        problem = _write_problem(state, offset, record)
+    except RecursionError:
+        problem = "specification is nested too deeply"
     if problem:
         return ConfigurationRecordResult(next_state, False, problem)
     return ConfigurationRecordResult(_apply_write(next_state, offset, record), True, "")
@@ -108,7 +112,8 @@
 ) -> tuple[specs.DocumentProblem, ...]:
     """Return the problems for which a write to this state would be refused."""
     if kind not in specs.DEFINITION_BY_KIND:
-        return (specs.DocumentProblem("$.kind", f"unknown kind {kind!r}"),)
+        shown = untrusted_data.excerpt(kind)
+        return (specs.DocumentProblem("$.kind", f"unknown kind {shown}"),)
     problems = specs.check_name(name)
     if not deleted:
         problems += tuple(
--- a/src/wasabivalve/settings/core.py
+++ b/src/wasabivalve/settings/core.py
@@ -89,7 +89,7 @@
     """Load a settings file, or return its findings."""
     try:
         document = json.loads(path.read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         return InvalidSettings((outcomes.Finding(str(path), "$", str(error)),))
     findings = check(document, str(path))
     if findings:
