Believe the end of a holder only from its own address

Cause: a release for a changed incarnation goes to the address in its entry. The instance there answers 421, as it has another id, and this counted as the end of the holder, which is at another address.

Change: 421 ends a lease only at the incarnation to which it was granted. At any other, the lease is waited out.

Evidence: test_entry_that_names_the_address_of_another_instance_ends_no_lease failed before with two holders. Why it works: the grants of a lease went to the address at which another instance then answers.

--- a/src/wasabivalve/key_leases/moves.py
+++ b/src/wasabivalve/key_leases/moves.py
@@ -87,7 +87,11 @@
         instance: placement.RegisteredInstance,
         attempts: int = RELEASE_ATTEMPTS,
     ) -> None:
-        """Have an instance release a range; retry, as single calls may be lost."""
+        """Have an instance release a range; retry, as single calls may be lost.
+
+        That another instance is at the address of a later incarnation says nothing of
+        the holder, which may have been at another address.
+        """
         term = self._writer.term
         if lease.pending_grants:
             # A renewal in flight must not arrive after the release. The parts of a
@@ -107,7 +111,12 @@
             )
             if self._writer.term != term:
                 return
-            if result is not None:
+            is_unrelated = (
+                result is not None
+                and result.ended
+                and instance.born != lease.range.born
+            )
+            if result is not None and not is_unrelated:
                 lease.handover = result.handover
                 lease.reassignable = True
                 return
--- a/src/wasabivalve/key_leases/tests/lease_simulation.py
+++ b/src/wasabivalve/key_leases/tests/lease_simulation.py
@@ -115,6 +115,7 @@
         self.vms_without_store = set()
         self.store_names_era = store_names_era
         self.unlisted_vms = set()
+        self.misdirected_ids = set()
         self.confirmed_at_s_by_first_key = {}
         self.announced_after_confirmation_s = []
         self.loads = key_loads.KeyLoads()
@@ -348,7 +349,7 @@
 
     async def _release(self, registration, first, last, token, timeout_ms):
         instance = self.instance_by_name[registration.id]
-        if instance.ended:
+        if instance.ended or registration.id in self.misdirected_ids:
             return leases.ReleaseResult(None, ended=True)
         if not instance.reachable or self.random.random() < self.loss_probability:
             await asyncio.sleep(timeout_ms / 1000.0)
--- a/src/wasabivalve/key_leases/tests/test_controller.py
+++ b/src/wasabivalve/key_leases/tests/test_controller.py
@@ -219,6 +219,25 @@
     lease_simulation.run_scenario(scenario)
 
 
+def test_entry_that_names_the_address_of_another_instance_ends_no_lease():
+    """An entry of another writer looks like a new incarnation of a holder."""
+
+    async def scenario(simulation):
+        leader = simulation.new_controller("a")
+        leader.start()
+        await simulation.keep_elected(leader, 3.0)
+        own = simulation.registered_by_name["i-1"]
+        simulation.registered_by_name["i-1"] = own._replace(
+            port=2, born=2, draining=True
+        )
+        # The instance at that address has another id.
+        simulation.misdirected_ids.add("i-1")
+        await simulation.keep_elected(leader, 8.0)
+        assert simulation.count_unheld_keys() == 0
+
+    lease_simulation.run_scenario(scenario)
+
+
 def test_all_controllers_killed_at_once_find_the_recorded_holders():
     """A first controller must not wait for the expiry of leases that it can renew."""
 
