Leave an instance in force whose id an entry of another writer takes

Cause: an entry of a service that no desired state names was taken for a new incarnation of the instance under its id; in a listing, one that can't be read removed that instance.

Change: both leave the known instance in force, and are logged (WV0323). A new instance of a service that is configured later is accepted as before.

--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable, Sequence
 
-from wasabivalve import events, shared_facts, supervision
+from wasabivalve import events, shared_facts, supervision, untrusted_data
 from wasabivalve.desired_state import core as desired_state
 from wasabivalve.gateway import core as gateway
 from wasabivalve.gateway import instance_selection, internal_http, messages
@@ -585,7 +585,8 @@
         decoded: list[placement.RegisteredInstance] = []
 
         def add(record: keyed_log.Record) -> None:
-            instance = self._decode_instance(record)
+            known = self._instance_directory.instance_by_id.get(record.key)
+            instance = self._decode_instance(record) or known
             if instance is not None:
                 decoded.append(instance)
 
@@ -610,11 +611,34 @@
     def _decode_instance(
         self, record: keyed_log.Record
     ) -> placement.RegisteredInstance | None:
+        """Return the instance that an entry names, None if it names none.
+
+        An entry of another writer may stand under the id of an instance, whose own
+        entry then holds.
+        """
         try:
-            return instances.decode(record.key, record.value or b"")
+            instance = instances.decode(record.key, record.value or b"")
+            self._check_service(instance)
         except instances.MalformedInstanceEntry as error:
             events.emit(323, instance=record.key[:40], problem=str(error))
             return None
+        return instance
+
+    def _check_service(self, instance: placement.RegisteredInstance) -> None:
+        """Raise ``MalformedInstanceEntry`` if an instance changes to no known service.
+
+        Its service may be configured later, which makes no difference to a new one.
+        """
+        known = self._instance_directory.instance_by_id.get(instance.id)
+        if (
+            known is not None
+            and self._find_service(known.service) is not None
+            and self._find_service(instance.service) is None
+        ):
+            shown = untrusted_data.excerpt(instance.service)
+            raise instances.MalformedInstanceEntry(
+                f"service is {shown}, which is not configured"
+            )
 
     def _on_instance_change(
         self,
--- a/src/wasabivalve/platform/tests/test_foreign_values.py
+++ b/src/wasabivalve/platform/tests/test_foreign_values.py
@@ -329,3 +329,46 @@
         assert appended == ["failed", "fingerprint"]
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+@pytest.mark.parametrize(
+    "changes",
+    [{"service": "ledger-of-last-year"}, {"state": "odd"}, {"slots": "many"}],
+)
+def test_foreign_entry_under_the_id_of_a_holder_leaves_it_in_use(changes, is_listed):
+    """The controller took it for a new incarnation and gave the keys away."""
+
+    async def scenario(stand_in, plain, keyed, vm_settings, vm):
+        stand_in.put("keyed.op", "config", test_entry_vm.encode_desired_state(2))
+        served = test_entry_vm.check_served(
+            vm_settings, "/keyed/x", "Shard-Key: 77\r\n"
+        )
+        await test_entry_vm.wait_until(served)
+        before = vm._instance_directory.instance_by_id["i-keyed"]
+        changed = {"born": 2_000_000_000_000, "address": "127.0.0.1:9", **changes}
+        entry = test_entry_vm.encode_entry(keyed, **changed)
+        stand_in.put("keyed.servers", "i-keyed", entry)
+        if is_listed:
+            stand_in.restore(stand_in.copy_end_offsets())
+        # Behind it in the topic, so that it has been read as well.
+        last = test_entry_vm.encode_entry(plain, sequence=9)
+        stand_in.put("keyed.servers", "i-plain", last)
+
+        async def has_read():
+            known = vm._instance_directory.instance_by_id["i-plain"]
+            return known.sequence == 9
+
+        await test_entry_vm.wait_until(has_read)
+        assert vm._instance_directory.instance_by_id["i-keyed"] == before
+        own = test_entry_vm.encode_entry(keyed, sequence=2)
+        stand_in.put("keyed.servers", "i-keyed", own)
+
+        async def is_followed():
+            known = vm._instance_directory.instance_by_id["i-keyed"]
+            return known.sequence == 2
+
+        await test_entry_vm.wait_until(is_followed)
+        assert await served()
+
+    test_entry_vm.run_scenario(scenario)
