Free the body of a request when it is answered

Cause: the turn of a request and the request's may_stream function refer to each other, so that the body stays until the garbage collector runs, which is rare. The memory account has released it by then and bounds nothing.

Change: the function refers to the turn weakly.

--- a/src/wasabivalve/gateway/response_sender.py
+++ b/src/wasabivalve/gateway/response_sender.py
@@ -1,6 +1,7 @@
 """Have the requests of one connection handled and write the responses in order."""
 
 import asyncio
+import weakref
 from collections.abc import Callable
 from typing import Protocol
 
@@ -123,11 +124,21 @@
         if self.busy:
             self._server.pipelining.count_event("request.pipelined")
         turn = self._order.add(request, held_bytes)
-        # A response that had to wait would stall at its instance, which gives it up.
-        turn.request = request._replace(
-            may_begin=turn.may_begin,
-            may_stream=lambda: self._writable.is_set() and self._order.is_first(turn),
-        )
+        # A strong reference would form a cycle, which keeps the body of the request
+        # until the garbage collector runs, while the memory account has released it.
+        turn_reference = weakref.ref(turn)
+
+        def may_stream() -> bool:
+            # A response that had to wait would stall at its instance, which gives it
+            # up.
+            turn = turn_reference()
+            return (
+                turn is not None
+                and self._writable.is_set()
+                and self._order.is_first(turn)
+            )
+
+        turn.request = request._replace(may_begin=turn.may_begin, may_stream=may_stream)
         self._advance()
 
     def refuse(self, response: messages.HttpResponse) -> None:
