Count the wait for unknown controllers from when the era was first seen

What callers would see: keys that come back two seconds later than they could after a restore, and later still if the controller gives up and claims again.

Cause: the 2 s for which a VM that the store has forgotten may renew were counted from each claim. All its elections came before the store came back, so before the claiming VM first saw the new era.

Why it works: the bound depends on the restore, not on the claim; the tests of two holders hold as before.

--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -255,9 +255,9 @@
 
     def _unlisted_authority_timeout_ms(self) -> float:
         """Return for how long a VM that the store may have forgotten goes on."""
-        if self._calls.store_names_era():
-            return leases.UNLISTED_AUTHORITY_TIMEOUT_MS
-        return leases.AUTHORITY_TIMEOUT_MS
+        if self._calls.era_seen_at_ms() is None:
+            return leases.AUTHORITY_TIMEOUT_MS
+        return leases.UNLISTED_AUTHORITY_TIMEOUT_MS
 
     # Terms and the assignment log.
 
@@ -334,13 +334,16 @@
     def _on_listed_yielded(self) -> None:
         """Wait only for VMs that the store may have forgotten, and for leases.
 
-        Those can't be asked to yield, so that their authority has to expire.
+        Those can't be asked to yield, so that their authority has to expire. All of
+        them were confirmed before the store came back.
         """
-        authority_end_ms = max(
-            self._calls.now_ms(),
-            self._claimed_at_ms + self._unlisted_authority_timeout_ms(),
+        confirmed_at_ms = self._calls.era_seen_at_ms()
+        if confirmed_at_ms is None:
+            confirmed_at_ms = self._claimed_at_ms
+        authority_end_ms = confirmed_at_ms + self._unlisted_authority_timeout_ms()
+        until_ms = (
+            max(self._calls.now_ms(), authority_end_ms) + self._max_grant_lifetime_ms()
         )
-        until_ms = authority_end_ms + self._max_grant_lifetime_ms()
         self._held_grants.on_listed_yielded(until_ms)
         events.emit(
             308, term=self._term, left_ms=round(until_ms - self._calls.now_ms())
--- a/src/wasabivalve/key_leases/leases.py
+++ b/src/wasabivalve/key_leases/leases.py
@@ -96,7 +96,7 @@
     Times are in ms, but lease durations in s; ``now_ms`` also counts time for which
     the machine was suspended. An append names the offset and the era of the store at
     which it is valid; ``store_era`` returns the newest era that this VM has seen, and
-    ``store_names_era`` whether the store names any.
+    ``era_seen_at_ms`` when it first saw that one, None if the store names none.
     """
 
     now_ms: Callable[[], float]
@@ -113,7 +113,7 @@
         Awaitable[ReleaseResult | None],
     ]
     store_era: Callable[[], int] = lambda: 0
-    store_names_era: Callable[[], bool] = lambda: False
+    era_seen_at_ms: Callable[[], float | None] = lambda: None
 
 
 class ControllerDependencies(NamedTuple):
--- a/src/wasabivalve/key_leases/tests/lease_simulation.py
+++ b/src/wasabivalve/key_leases/tests/lease_simulation.py
@@ -114,6 +114,7 @@
         self.unreachable_vms = set()
         self.vms_without_store = set()
         self.store_names_era = store_names_era
+        self.era_seen_at_ms_by_vm = {}
         self.unlisted_vms = set()
         self.misdirected_ids = set()
         self.confirmed_at_s_by_first_key = {}
@@ -158,6 +159,7 @@
         """Let a VM notice the era of the store."""
         if self.era_by_vm.get(vm, 0) < self.era:
             self.era_by_vm[vm] = self.era
+            self.era_seen_at_ms_by_vm[vm] = 1000.0 * self.now_s()
             self.controller_by_vm[vm].on_new_era()
 
     def find_holder(self, key):
@@ -187,7 +189,7 @@
             self._grant,
             self._release,
             lambda: self.era_by_vm.get(vm, 0),
-            lambda: self.store_names_era,
+            lambda: self.era_seen_at_ms_by_vm[vm] if self.store_names_era else None,
         )
         listed_since_ms = 1000.0 * self.now_s()
         dependencies = leases.ControllerDependencies(
@@ -212,6 +214,7 @@
         # What an earlier incarnation of the VM knew is lost with it.
         self.known_map_by_vm.pop(vm, None)
         self.era_by_vm[vm] = self.era
+        self.era_seen_at_ms_by_vm[vm] = 1000.0 * self.now_s()
         self.controller_by_vm[vm] = controller.KeyLeaseController(
             vm, 10_000.0, calls, dependencies
         )
--- a/src/wasabivalve/key_leases/tests/test_store_era.py
+++ b/src/wasabivalve/key_leases/tests/test_store_era.py
@@ -206,6 +206,24 @@
     run_scenario(scenario)
 
 
+def test_claim_again_does_not_wait_again_for_unknown_controllers():
+    """Without an answer of the store for a moment, keys came back seconds later."""
+
+    async def scenario(simulation):
+        listed, _ = await lose_controller_that_only_the_lost_part_knew(simulation)
+        await simulation.keep_elected(listed, 1.0)
+        # The store does not answer, so that this VM claims again.
+        simulation.store_available = False
+        await asyncio.sleep(leases.UNLISTED_AUTHORITY_TIMEOUT_MS / 1000.0 + 0.2)
+        assert not listed.is_controller
+        simulation.store_available = True
+        lease_s = UNKNOWN_CONTROLLER_S - leases.UNLISTED_AUTHORITY_TIMEOUT_MS / 1000.0
+        await simulation.keep_elected(listed, lease_s + GRANT_DELAY_S)
+        assert simulation.count_unheld_keys() == 0
+
+    run_scenario(scenario)
+
+
 def test_proven_range_of_a_silent_holder_is_not_reassigned_early():
     """A controller that nobody knows may still renew a lease of a silent holder."""
 
--- a/src/wasabivalve/keyed_log/store_era.py
+++ b/src/wasabivalve/keyed_log/store_era.py
@@ -4,6 +4,7 @@
 copy a second time.
 """
 
+import time
 from collections.abc import Callable
 
 from wasabivalve import events
@@ -15,14 +16,16 @@
 class StoreEra:
     """Hold the newest era that this VM has seen, in an answer or a message.
 
-    ``change_count`` counts how often it has risen; ``is_named`` says whether the store
-    names any, as one does that may come back from a copy.
+    ``change_count`` counts how often it has risen. ``seen_at`` is when this VM first
+    saw the newest one, by ``clock``; it is None while none was named. Only a store that
+    may come back from a copy names any.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.newest = NO_ERA
+        self.seen_at: float | None = None
+        self._clock = clock
         self.change_count = 0
-        self.is_named = False
         self._is_known = False
         self._listeners: list[Callable[[], None]] = []
 
@@ -30,6 +33,11 @@
         """Add a function that is called when the store has been restored."""
         self._listeners.append(listener)
 
+    def on_named(self) -> None:
+        """Record that an answer of the store names an era."""
+        if self.seen_at is None:
+            self.seen_at = self._clock()
+
     def observe(self, era: int, source: str) -> bool:
         """Record an era; return whether it is the newest one.
 
@@ -38,6 +46,7 @@
         is_first, self._is_known = not self._is_known, True
         if era > self.newest:
             previous, self.newest = self.newest, era
+            self.seen_at = self._clock()
             self.change_count += 1
             if is_first:
                 events.emit(207, era=era)
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -126,7 +126,7 @@
         self._settings = vm_settings
         self._loop = asyncio.get_running_loop()
         self._generator = random.Random()
-        self._store_era = store_era.StoreEra()
+        self._store_era = store_era.StoreEra(clocks.boottime_ms)
         self._store_client = store.StoreClient(
             vm_settings.store_address, self._store_era
         )
@@ -282,7 +282,7 @@
                 self._grant_client.grant,
                 self._grant_client.release,
                 lambda: self._store_era.newest,
-                lambda: self._store_era.is_named,
+                lambda: self._store_era.seen_at,
             ),
             leases.ControllerDependencies(
                 self._partitioned_services,
--- a/src/wasabivalve/platform/store.py
+++ b/src/wasabivalve/platform/store.py
@@ -276,7 +276,7 @@
         value = response.header(ERA_HEADER) or b""
         if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
             return self.era.newest
-        self.era.is_named = True
+        self.era.on_named()
         return int(value)
 
     async def _connect(
