Log what callers have not received when a VM stops

WV0002 and WV0003 now have unsent_bytes: what waits in the process and in the send queue of the kernel (gateway.send_queue; WV0416 if the system does not tell).

--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -78,6 +78,7 @@
     (413, "WARNING", "request failed or was refused"),
     (414, "INFO", "requests behind the last response of a connection were dropped"),
     (415, "WARNING", "connection was reset, as its caller did not read a response"),
+    (416, "WARNING", "the system does not tell what a peer has not acknowledged"),
     (420, "INFO", "request was answered"),
     # Configuration, 500 to 599.
     (500, "INFO", "configuration is in force"),
--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -77,6 +77,10 @@
         """Return whether a request is being read or served, or its response is sent."""
         return self._receiving or self._responses.busy or self._lingering
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the caller has not acknowledged."""
+        return self._responses.unsent_bytes()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout."""
         assert isinstance(transport, asyncio.Transport)
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -182,6 +182,10 @@
         """Return the number of connections with a request in progress."""
         return sum(1 for connection in self._connections if connection.busy)
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that callers have not acknowledged."""
+        return sum(connection.unsent_bytes() for connection in self._connections)
+
     def set_desired_state(self, state: desired_state.DesiredState) -> None:
         """Apply a desired state to requests that arrive from now on."""
         self._route_table = desired_state.RouteTable(state)
--- a/src/wasabivalve/gateway/response_sender.py
+++ b/src/wasabivalve/gateway/response_sender.py
@@ -110,6 +110,10 @@
         """Return whether a part of a response waits until the caller reads."""
         return self._unread.is_sending or self._stream_task is not None
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the caller has not acknowledged."""
+        return self._unread.unsent_bytes()
+
     def when_written(self, action: Callable[[], None]) -> None:
         """Run an action when all that was begun is with the transport."""
         if self._stream_task is not None:
--- a/src/wasabivalve/gateway/unread_responses.py
+++ b/src/wasabivalve/gateway/unread_responses.py
@@ -5,7 +5,7 @@
 
 from wasabivalve import events
 
-from . import disconnects, memory_account
+from . import disconnects, memory_account, send_queue
 
 WRITE_BYTES = 64 * 1024
 """Bytes written at once; the transport copies what it can't send."""
@@ -113,6 +113,14 @@
             return 0
         return self._transport.get_write_buffer_size() + len(self._rest)
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the caller has not acknowledged."""
+        if self._transport is None:
+            return 0
+        sock = self._transport.get_extra_info("socket")
+        queued_bytes = 0 if sock is None else send_queue.unacknowledged_bytes(sock)
+        return self.unwritten_bytes() + queued_bytes
+
     def held_bytes(self) -> int:
         """Return the memory of what waits; a body is held whole until its end."""
         if self._transport is None:
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -423,7 +423,7 @@
     async def close(self) -> None:
         """Leave the balancer's rotation, finish the requests in progress and stop."""
         stop_requested_at = self._loop.time()
-        events.emit(2, vm=self._settings.vm, in_work=self._gateway.busy_connections)
+        events.emit(2, vm=self._settings.vm, **self._work_left())
         self._stopping = True
         # Leases are renewed until another VM has claimed the keys. A store outage
         # delays that.
@@ -446,6 +446,7 @@
             if not self._gateway.busy_connections and not must_renew_leases:
                 break
             await asyncio.sleep(0.05)
+        work_left = self._work_left()
         leave_task.cancel()
         self._supervisor.close()
         self._controller.close()
@@ -459,7 +460,13 @@
         self._store_client.close()
         for server in self._internal_servers:
             server.close()
-        events.emit(3, vm=self._settings.vm, in_work=self._gateway.busy_connections)
+        events.emit(3, vm=self._settings.vm, **work_left)
+
+    def _work_left(self) -> dict[str, int]:
+        return {
+            "in_work": self._gateway.busy_connections,
+            "unsent_bytes": self._gateway.unsent_bytes(),
+        }
 
     def reload(self, path: pathlib.Path) -> None:
         """Read the settings again and log whether they changed; nothing is applied."""
