Stop only when callers have received their answers

Cause: EntryVM.close() ended the process when no connection was busy, and a connection was idle once its last bytes were handed to the transport. close_idle_callers() then began to close it, but the end of the event loop dropped what the transport held.

Change: a connection is idle when its caller has acknowledged all (is_idle), both for closing it and for the end of the process. The kernel's queue counts too: a request that crosses the close resets the connection, and the rest of the queue is lost. The deadline of a stop is unchanged.

Test: platform/tests/test_planned_stops.py, real processes, one VM per way of asking, each signalled twice.

--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -77,6 +77,11 @@
         """Return whether a request is being read or served, or its response is sent."""
         return self._receiving or self._responses.busy or self._lingering
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing is read or served and the caller has received all."""
+        return not self.busy and not self.unsent_bytes()
+
     def unsent_bytes(self) -> int:
         """Return the bytes of responses that the caller has not acknowledged."""
         return self._responses.unsent_bytes()
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -166,9 +166,9 @@
             self._server.close()
 
     def close_idle_callers(self) -> None:
-        """Close the connections of callers that have no request in progress."""
+        """Close the connections of callers that wait for nothing."""
         for connection in list(self._connections):
-            if not connection.busy:
+            if connection.is_idle:
                 connection.close()
 
     @property
@@ -182,6 +182,11 @@
         """Return the number of connections with a request in progress."""
         return sum(1 for connection in self._connections if connection.busy)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no caller waits for a response or for the rest of one."""
+        return all(connection.is_idle for connection in self._connections)
+
     def unsent_bytes(self) -> int:
         """Return the bytes of responses that callers have not acknowledged."""
         return sum(connection.unsent_bytes() for connection in self._connections)
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -443,7 +443,7 @@
                 self._controller.is_controller
                 and self._loop.time() < stop_requested_at + grace_s
             )
-            if not self._gateway.busy_connections and not must_renew_leases:
+            if self._gateway.is_idle and not must_renew_leases:
                 break
             await asyncio.sleep(0.05)
         work_left = self._work_left()
--- a/src/wasabivalve/platform/tests/soak/vm_process.py
+++ b/src/wasabivalve/platform/tests/soak/vm_process.py
@@ -11,7 +11,7 @@
 ip = "127.0.0.1"
 zone = "{data_centre}"
 internal_ports = [{link}, {link}]
-bounds = ["grace_s=3", "retry_budget_ratio=0.2", "budget_window_s=10",
+bounds = ["grace_s={grace_s}", "retry_budget_ratio=0.2", "budget_window_s=10",
     "budget_slack=50", "hold_max_s=10", "drain_s=2.5", "config_apply_s=2.5"]
 [zones]
 east = "coast"
@@ -34,7 +34,7 @@
     Timing bounds aren't checked for the VM before ``disturbed_until``.
     """
 
-    def __init__(self, name, data_centre, ports, store_relay, folder):
+    def __init__(self, name, data_centre, ports, store_relay, folder, grace_s=3):
         self.name = name
         (
             self.caller_port,
@@ -58,6 +58,7 @@
                 callers=self.caller_port,
                 readiness=self.readiness_port,
                 store=store_relay.port,
+                grace_s=grace_s,
             )
         )
 
--- /dev/null
+++ b/src/wasabivalve/platform/tests/test_planned_stops.py
@@ -0,0 +1,347 @@
+"""Stop entry VMs while callers still read, with real processes.
+
+The callers read small amounts at a time, as over a long and narrow link, so that most
+of an answer waits in the VM.
+"""
+
+import asyncio
+import contextlib
+import json
+import signal
+import socket
+
+import pytest
+
+from wasabivalve.platform.tests import ports, store_stand_in
+from wasabivalve.platform.tests.soak import vm_process
+
+pytestmark = pytest.mark.processes
+
+GRACE_S = 6
+BODY = b"0123456789abcdef" * 45_000
+READ_BYTES_PER_S = 160_000
+"""Rate at which an answer takes longer than a VM stays in rotation, not its grace."""
+
+STOP_AFTER_S = 0.3
+IDLE_STOP_S = 4.0
+"""Bound of a stop for which nobody waits; 2.6 s of it are for leaving rotation."""
+
+LENGTH = b"content-length: %d\r\n\r\n" % len(BODY) + BODY
+CHUNKED = (
+    b"transfer-encoding: chunked\r\n\r\n%x\r\n" % len(BODY) + BODY + b"\r\n0\r\n\r\n"
+)
+ANSWER_BY_PATH = {
+    "/plain/held": (b"404 No", LENGTH),
+    "/plain/streamed": (b"200 OK", LENGTH),
+    "/plain/chunked": (b"200 OK", CHUNKED),
+    "/plain/endless": (b"200 OK", b"connection: close\r\n\r\n" + BODY),
+    "/plain/small": (b"200 OK", b"content-length: 4\r\n\r\ndone"),
+}
+
+KINDS = (
+    "held",
+    "streamed",
+    "chunked",
+    "endless",
+    "closing",
+    "pipelined",
+    "late",
+    "crossing",
+)
+"""Ways to ask for an answer; the last two send a request behind it during the stop."""
+
+REQUEST_DELAY_S_BY_KIND = {"late": 1.0, "crossing": 2.8}
+
+
+class Instance:
+    """Answer requests by their path."""
+
+    async def start(self):
+        """Listen on a free port of loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self):
+        """Stop listening."""
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                path = head.split()[1]
+                request_id = head.lower().partition("request-id: ")[2].split("\r\n")[0]
+                status, rest = ANSWER_BY_PATH[path]
+                fields = f"request-id: {request_id}\r\nresponse-signature: s.1\r\n"
+                writer.write(b"HTTP/1.1 " + status + b"\r\n" + fields.encode() + rest)
+                await writer.drain()
+                if path == "/plain/endless":
+                    break
+        writer.close()
+
+
+def encode_desired_state():
+    """Return one route whose answers take less than its timeout."""
+    route = {
+        "host": "h",
+        "path_prefix": "/plain/",
+        "kind": "safe",
+        "timeout_s": 8,
+        "target_latency_s": 1,
+        "priority": 0,
+        "service": "plain",
+        "max_attempts": 2,
+    }
+    limits = {
+        "max_header_bytes": 9_000,
+        "max_body_bytes": 9_000,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+    }
+    rows = [
+        ("routes", "plain", route),
+        ("services", "plain", {"max_connections": 200}),
+        ("limits", "", limits),
+    ]
+    resources = [
+        {"resource_kind": kind, "metadata": {"name": name}, "spec": spec}
+        for kind, name, spec in rows
+    ]
+    return json.dumps({"version": 1, "resources": resources}).encode()
+
+
+class Caller:
+    """Send requests over one connection and read slowly all that comes back."""
+
+    def __init__(self, port):
+        self._loop = asyncio.get_running_loop()
+        self._port = port
+        self.received = bytearray()
+        self.end = None
+
+    async def start(self, *paths, headers=""):
+        """Connect, as a caller far away does, and send requests for paths."""
+        self._socket = socket.socket()
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_400)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_048)
+        await self._loop.sock_connect(self._socket, ("127.0.0.1", self._port))
+        await self.send(*paths, headers=headers)
+
+    async def send(self, *paths, headers=""):
+        """Send requests at once."""
+        data = "".join(
+            f"GET {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: r{number}\r\n"
+            f"Deadline-Ms: 8000\r\n{headers}\r\n"
+            for number, path in enumerate(paths)
+        )
+        await self._loop.sock_sendall(self._socket, data.encode())
+
+    async def read(self, bytes_per_s=READ_BYTES_PER_S):
+        """Read until the connection ends, which ``end`` says how."""
+        try:
+            while data := await self._loop.sock_recv(self._socket, 4_096):
+                self.received += data
+                await asyncio.sleep(len(data) / bytes_per_s)
+            self.end = "closed"
+        except ConnectionError:
+            self.end = "reset"
+        finally:
+            self._socket.close()
+
+    def answers(self):
+        """Return the status and the body of each answer that came whole."""
+        data, answers = bytes(self.received), []
+        while data:
+            head, separator, data = data.partition(b"\r\n\r\n")
+            head = head.lower()
+            if b"transfer-encoding: chunked" in head:
+                body = bytearray()
+                while (size := int(data.partition(b"\r\n")[0] or b"0", 16)) > 0:
+                    data = data.partition(b"\r\n")[2]
+                    body += data[:size]
+                    data = data[size + 2 :]
+                whole = data.startswith(b"0\r\n\r\n")
+                data = data[5:]
+            elif b"content-length: " in head:
+                size = int(head.partition(b"content-length: ")[2].split(b"\r\n")[0])
+                body, data = data[:size], data[size:]
+                whole = len(body) == size
+            else:
+                body, data = data, b""
+                whole = self.end == "closed"
+            if separator and whole:
+                answers.append((int(head.split()[1]), bytes(body)))
+        return answers
+
+
+class Deployment:
+    """Run VMs as processes beside a store and an instance."""
+
+    def __init__(self, folder):
+        self._folder = folder
+        self._store = store_stand_in.StoreStandIn()
+        self._instance = Instance()
+        self.vms = []
+
+    async def start(self, following_count):
+        """Start all, the VM that leads first."""
+        await self._store.start()
+        await self._instance.start()
+        entry = {
+            "service": "plain",
+            "address": f"127.0.0.1:{self._instance.port}",
+            "zone": "east",
+            "version": "v1",
+            "slots": 40,
+            "state": "ready",
+            "warmup_left_s": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        self._store.put("keyed.servers", "i-0", json.dumps(entry).encode())
+        self._store.put("keyed.op", "config", encode_desired_state())
+        await self._start_vms(["leading"])
+        await self._start_vms(
+            [f"following-{index}" for index in range(following_count)]
+        )
+
+    async def _start_vms(self, names):
+        """Start VMs and wait until they serve."""
+        vm_ports = ports.free_ports(4 * len(names))
+        vms = [
+            vm_process.VMProcess(
+                name,
+                "east",
+                vm_ports[4 * index : 4 * index + 4],
+                self._store,
+                self._folder,
+                GRACE_S,
+            )
+            for index, name in enumerate(names)
+        ]
+        self.vms += vms
+        for vm in vms:
+            await vm.start()
+        for vm in vms:
+            while not await self._leads_or_follows(vm):
+                await asyncio.sleep(0.05)
+
+    async def _leads_or_follows(self, vm):
+        """Return whether a VM serves and, if it is the first one, leads."""
+        caller = Caller(vm.caller_port)
+        try:
+            await caller.start("/plain/small", headers="Connection: close\r\n")
+        except ConnectionError:
+            return False
+        await caller.read(1e9)
+        leads = "WV0310" in vm.log_text()
+        return caller.answers() == [(200, b"done")] and leads == (vm is self.vms[0])
+
+    async def close(self):
+        """End all."""
+        for vm in self.vms:
+            await vm.kill()
+        self._instance.close()
+        self._store.close()
+
+
+async def stop(vm):
+    """Stop a VM with two signals and return the time it took in s."""
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.create_task(vm.stop(GRACE_S))
+    started_at = loop.time()
+    await asyncio.sleep(1.0)
+    vm.signal(signal.SIGTERM)
+    assert await stopping, "the process was still running after its grace period"
+    return loop.time() - started_at
+
+
+def run_scenario(scenario, folder, following_count=1):
+    async def main():
+        deployment = Deployment(folder)
+        try:
+            async with asyncio.timeout(40.0):
+                await deployment.start(following_count)
+                await scenario(*deployment.vms)
+        finally:
+            await deployment.close()
+
+    asyncio.run(main())
+
+
+async def read_around_a_stop(vm, kind):
+    """Stop a VM while a caller reads, and return the caller."""
+    paths = {
+        "endless": ["/plain/endless"],
+        "streamed": ["/plain/streamed"],
+        "chunked": ["/plain/chunked"],
+        "pipelined": ["/plain/held", "/nowhere", "/plain/small"],
+    }.get(kind, ["/plain/held"])
+    caller = Caller(vm.caller_port)
+    headers = "Connection: close\r\n" if kind == "closing" else ""
+    await caller.start(*paths, headers=headers)
+    reading = asyncio.create_task(caller.read())
+    await asyncio.sleep(STOP_AFTER_S)
+    stopping = asyncio.create_task(stop(vm))
+    if kind in REQUEST_DELAY_S_BY_KIND:
+        await asyncio.sleep(REQUEST_DELAY_S_BY_KIND[kind])
+        await caller.send("/plain/small")
+    await reading
+    await stopping
+    return caller
+
+
+def test_planned_stop_cuts_no_answer_that_is_still_being_read(tmp_path):
+    """A VM ended once its transports held the ends of its answers (LOST)."""
+
+    async def scenario(leading, *following):
+        callers = await asyncio.gather(
+            *(
+                read_around_a_stop(vm, kind)
+                for vm, kind in zip(following, KINDS, strict=True)
+            )
+        )
+        first_answers = {
+            kind: caller.answers()[:1]
+            for kind, caller in zip(KINDS, callers, strict=True)
+        }
+        assert first_answers == {
+            kind: [
+                (200 if kind in ("endless", "streamed", "chunked") else 404, BODY),
+            ]
+            for kind in KINDS
+        }
+        answer_counts = {
+            kind: len(caller.answers())
+            for kind, caller in zip(KINDS, callers, strict=True)
+        }
+        # Requests that were read before the last answer are answered as well.
+        assert answer_counts["pipelined"] == 3 and answer_counts["late"] == 2
+
+    run_scenario(scenario, tmp_path, following_count=len(KINDS))
+
+
+def test_planned_stop_of_the_leading_vm_cuts_no_answer(tmp_path):
+    """The leading VM ends as soon as another one leads, whatever is unsent (LOST)."""
+
+    async def scenario(leading, following):
+        caller = await read_around_a_stop(leading, "held")
+        assert caller.answers() == [(404, BODY)]
+
+    run_scenario(scenario, tmp_path)
+
+
+def test_stop_for_which_nobody_waits_is_short(tmp_path):
+    """Kept connections that are idle must not hold a stop."""
+
+    async def scenario(leading, following):
+        callers = [Caller(following.caller_port) for _ in range(5)]
+        for caller in callers:
+            await caller.start("/plain/small")
+        reads = [asyncio.create_task(caller.read()) for caller in callers]
+        await asyncio.sleep(STOP_AFTER_S)
+        assert await stop(following) < IDLE_STOP_S
+        await asyncio.gather(*reads)
+
+    run_scenario(scenario, tmp_path)
