Reset answers that a stop has to cut

Callers saw: a caller that reads slowly or not at all got the beginning of an answer without a length and then a clean end of its connection when its VM stopped, so that the answer looked whole (MIXED).

Cause: Gateway.close() closed the transports, which write the rest first; the process ended before that, and the kernel closed the sockets as for a complete answer.

Change: at the end of a stop a connection with unwritten bytes is reset (cut). One of which the kernel has everything is closed as before, as the kernel delivers the rest.

Test: test_caller_that_reads_nothing_does_not_hold_a_stop_beyond_its_grace, which ended with 'closed' where a reset is expected. It also bounds such a stop by grace_s.

--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -215,6 +215,13 @@
         self._lingering = True
         self._start_timer(LINGER_S, self._transport.close)
 
+    def cut(self) -> None:
+        """Close the connection at once; a response that is not whole is reset."""
+        if self._responses.has_unwritten:
+            self.abort()
+        else:
+            self.close()
+
     def abort(self) -> None:
         """Reset the connection, so that no response looks complete."""
         self._closing = True
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -141,11 +141,14 @@
         )
 
     def close(self) -> None:
-        """Stop listening and close all connections immediately."""
+        """Stop listening and close all connections immediately.
+
+        The process may end next, which would close them like complete ones.
+        """
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
-            connection.close()
+            connection.cut()
         self.pool.close()
 
     def stop(self, stop_deadline_at: float, refuse_from: float = math.inf) -> None:
--- a/src/wasabivalve/gateway/response_sender.py
+++ b/src/wasabivalve/gateway/response_sender.py
@@ -110,6 +110,11 @@
         """Return whether a part of a response waits until the caller reads."""
         return self._unread.is_sending or self._stream_task is not None
 
+    @property
+    def has_unwritten(self) -> bool:
+        """Return whether a part of a response waits in this process."""
+        return self._stream_task is not None or self._unread.unwritten_bytes() > 0
+
     def unsent_bytes(self) -> int:
         """Return the bytes of responses that the caller has not acknowledged."""
         return self._unread.unsent_bytes()
--- a/src/wasabivalve/platform/tests/test_planned_stops.py
+++ b/src/wasabivalve/platform/tests/test_planned_stops.py
@@ -345,3 +345,22 @@
         await asyncio.gather(*reads)
 
     run_scenario(scenario, tmp_path)
+
+
+def test_caller_that_reads_nothing_does_not_hold_a_stop_beyond_its_grace(tmp_path):
+    """An answer that the stop has to cut must not look whole (MIXED)."""
+
+    async def scenario(leading, following):
+        callers = [Caller(following.caller_port) for _ in range(3)]
+        for path, caller in zip(ANSWER_BY_PATH, callers, strict=False):
+            await caller.start(path)
+        endless = Caller(following.caller_port)
+        await endless.start("/plain/endless")
+        await asyncio.sleep(STOP_AFTER_S)
+        assert await stop(following) <= GRACE_S
+        for caller in (*callers, endless):
+            await caller.read(1e9)
+        assert endless.end == "reset"
+        assert [caller.answers() for caller in (*callers, endless)] == [[]] * 4
+
+    run_scenario(scenario, tmp_path)
