Begin idle and lingering times when the caller has received the response

Callers saw: one that reads slowly over a kept connection lost it right after the response, although the announced idle time had not begun for it; one that sends a further request behind a closing response lost the end of that response to a reset.

Cause: both times began when the last bytes were handed to the transport. After LINGER_S the connection was closed for reading, and the next bytes of the caller reset it while the kernel still had to send.

Change: both times are checked against what the caller has acknowledged and start anew until it has everything; one that acknowledges nothing for the idle time is given up.

Tests in gateway/tests/test_unread_responses.py: the first two failed before with the end of the connection and with 'Connection reset by peer'; the third guards the bound.

--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -1,6 +1,7 @@
 """Read the requests of one caller's connection."""
 
 import asyncio
+import functools
 import math
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -67,6 +68,8 @@
         self._lingering = False
         self._announced_idle_s = math.inf
         self._timer: asyncio.TimerHandle | None = None
+        self._unsent_bytes = 0
+        self._progressed_at = 0.0
         self._receiving = False
         self._paced = False
         self._pieces = 0
@@ -213,7 +216,26 @@
             self._transport.abort()
             return
         self._lingering = True
-        self._start_timer(LINGER_S, self._transport.close)
+        self._close_when_received(LINGER_S)
+
+    def _close_when_received(self, delay_s: float) -> None:
+        """Close after ``delay_s`` s during which the caller had received everything.
+
+        A caller that has stopped reading is not waited for.
+        """
+        self._unsent_bytes = 0
+        self._start_timer(delay_s, functools.partial(self._check_received, delay_s))
+
+    def _check_received(self, delay_s: float) -> None:
+        unsent_before, self._unsent_bytes = self._unsent_bytes, self.unsent_bytes()
+        now = self._loop.time()
+        if not unsent_before or self._unsent_bytes < unsent_before:
+            self._progressed_at = now
+        stalled = now >= self._progressed_at + self._idle_timeout_s()
+        if stalled or not (self._unsent_bytes or unsent_before):
+            self.close()
+        else:
+            self._start_timer(delay_s, functools.partial(self._check_received, delay_s))
 
     def cut(self) -> None:
         """Close the connection at once; a response that is not whole is reset."""
@@ -402,11 +424,14 @@
         self._stop_timer()
         self._timer = self._loop.call_later(delay_s, action)
 
+    def _idle_timeout_s(self) -> float:
+        return self._server.limits().idle_timeout_ms / 1000.0
+
     def _start_idle_timeout(self) -> None:
-        timeout_s = self._server.limits().idle_timeout_ms / 1000.0
+        timeout_s = self._idle_timeout_s()
         if self._announced_idle_s < math.inf:
             timeout_s = max(timeout_s, self._announced_idle_s)
-        self._start_timer(timeout_s + IDLE_MARGIN_S, self.close)
+        self._close_when_received(timeout_s + IDLE_MARGIN_S)
 
     def _start_header_timeout(self) -> None:
         timeout_s = self._server.limits().header_timeout_ms / 1000.0
@@ -419,5 +444,5 @@
             self._start_header_timeout()
 
     def _start_body_timeout(self) -> None:
-        timeout_s = self._server.limits().idle_timeout_ms / 1000.0
+        timeout_s = self._idle_timeout_s()
         self._start_timer(timeout_s, lambda: self._reject(408, "body took too long"))
--- a/src/wasabivalve/gateway/tests/test_unread_responses.py
+++ b/src/wasabivalve/gateway/tests/test_unread_responses.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from wasabivalve.gateway import memory_account, unread_responses
+from wasabivalve.gateway import caller_connection, memory_account, unread_responses
 from wasabivalve.gateway import upstream_connection as upstream_connections
 from wasabivalve.gateway.tests import gateway_harness
 
@@ -96,6 +96,77 @@
     run_scenario(scenario)
 
 
+async def read_slowly(connection, byte_count):
+    """Read some bytes at about 200 KB/s."""
+    loop = asyncio.get_running_loop()
+    received = b""
+    while len(received) < byte_count:
+        data = await loop.sock_recv(connection, min(4_096, byte_count - len(received)))
+        if not data:
+            break
+        received += data
+        await asyncio.sleep(0.02)
+    return received
+
+
+async def read_to_the_last(connection, byte_count):
+    """Read all of the large response but its last bytes, which nobody waits for yet."""
+    loop = asyncio.get_running_loop()
+    received = bytearray(b"H")
+    while b"\r\n\r\n" not in received:
+        received += await loop.sock_recv(connection, 1)
+    left_bytes = len(BODY) - byte_count
+    while left_bytes:
+        left_bytes -= len(await loop.sock_recv(connection, min(left_bytes, 262_144)))
+
+
+def test_kept_connection_is_not_idle_while_its_response_is_read(monkeypatch):
+    """The idle time began when the transport had the response, and closed under it."""
+    monkeypatch.setattr(caller_connection, "IDLE_MARGIN_S", 0.0)
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        connection = await request_large(harness)
+        await read_to_the_last(connection, 200_000)
+        assert await read_slowly(connection, 200_000) == BODY[-200_000:]
+        await loop.sock_sendall(connection, REQUEST + b"\r\n")
+        assert await loop.sock_recv(connection, 1) == b"H"
+        connection.close()
+
+    run_scenario(scenario, idle_timeout_ms=400.0)
+
+
+def test_request_behind_a_closing_response_does_not_cut_it(monkeypatch):
+    """Lingering began when the transport had the response; later bytes reset it."""
+    monkeypatch.setattr(caller_connection, "LINGER_S", 0.1)
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        connection = await request_large(harness, b"connection: close\r\n")
+        await read_to_the_last(connection, 200_000)
+        received = await read_slowly(connection, 100_000)
+        await loop.sock_sendall(connection, REQUEST + b"\r\n")
+        received += await read_slowly(connection, 200_000)
+        assert received == BODY[-200_000:]
+        connection.close()
+
+    run_scenario(scenario)
+
+
+def test_closing_connection_whose_caller_stops_reading_is_given_up(monkeypatch):
+    """A caller that lets its last bytes lie must not hold a connection for ever."""
+    monkeypatch.setattr(caller_connection, "LINGER_S", 0.1)
+
+    async def scenario(harness):
+        connection = await request_large(harness, b"connection: close\r\n")
+        await read_to_the_last(connection, 50_000)
+        while harness.gateway.busy_connections:
+            await asyncio.sleep(0.01)
+        connection.close()
+
+    run_scenario(scenario, idle_timeout_ms=300.0)
+
+
 class SinkTransport(asyncio.Transport):
     """Take all that is written at once."""
 
