Send what was written to a caller that closes its side while it is not read

Callers saw: one that pipelines as many requests as a connection may have in progress and closes its side was reset up to 0.2 s later, and lost the part of an earlier answer that it had not read yet.

Cause: while reading is paused, _check_disconnect() reset a connection whose peer had closed its side unless the sender still held a part of the answer (is_sending); what the transport and the kernel held counted as sent.

Change: such a connection ends as it does at the end of the input: the work on its requests ends, what was written is sent, then it is closed. One that has ended in both directions is reset as before.

Test: test_caller_that_closes_its_side_behind_many_requests_gets_what_was_written, which got a reset (None) before.

--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -159,14 +159,17 @@
         """Notice that the caller left although nothing is read from it."""
         if self._transport is None:
             return
-        has_left = disconnects.has_left(self._transport)
-        if has_left and not self._responses.is_sending:
+        if not disconnects.has_left(self._transport):
+            self._disconnect_check = self._loop.call_later(
+                DISCONNECT_CHECK_S, self._check_disconnect
+            )
+        elif disconnects.has_ended(self._transport):
             self._disconnect_check = None
             self.abort()
-            return
-        self._disconnect_check = self._loop.call_later(
-            DISCONNECT_CHECK_S, self._check_disconnect
-        )
+        else:
+            # As for the end of the input, which is read behind all that precedes it.
+            self._responses.end_requests()
+            self.finish()
 
     def _stop_disconnect_check(self) -> None:
         if self._disconnect_check is not None:
--- a/src/wasabivalve/gateway/disconnects.py
+++ b/src/wasabivalve/gateway/disconnects.py
@@ -13,14 +13,24 @@
 
 def has_left(transport: asyncio.Transport) -> bool:
     """Return whether the peer has closed or reset a connection, without waiting."""
+    return _has_events(transport, LEFT_EVENTS)
+
+
+def _has_events(transport: asyncio.Transport, events: int) -> bool:
+    """Return whether one of some events, a hang-up or an error has occurred."""
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
         return True
     poll = select.poll()
-    poll.register(sock.fileno(), LEFT_EVENTS)
+    poll.register(sock.fileno(), events)
     return bool(poll.poll(0))
 
 
+def has_ended(transport: asyncio.Transport) -> bool:
+    """Return whether a connection has ended in both directions, without waiting."""
+    return _has_events(transport, 0)
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Close a connection at once; the peer sees an error, and unsent bytes are lost."""
     sock = transport.get_extra_info("socket")
--- a/src/wasabivalve/gateway/response_sender.py
+++ b/src/wasabivalve/gateway/response_sender.py
@@ -183,6 +183,8 @@
 
         Nothing is begun any more: the caller sends again what was not answered.
         """
+        if self._ending:
+            return
         self._ending = True
         if self._stream_task is None:
             dropped = self._order.drop_all()
--- a/src/wasabivalve/gateway/tests/test_unread_responses.py
+++ b/src/wasabivalve/gateway/tests/test_unread_responses.py
@@ -3,7 +3,12 @@
 import asyncio
 import socket
 
-from wasabivalve.gateway import caller_connection, memory_account, unread_responses
+from wasabivalve.gateway import (
+    caller_connection,
+    memory_account,
+    response_order,
+    unread_responses,
+)
 from wasabivalve.gateway import upstream_connection as upstream_connections
 from wasabivalve.gateway.tests import gateway_harness
 
@@ -44,7 +49,7 @@
     return bytes(received)
 
 
-def run_scenario(scenario, idle_timeout_ms=5_000.0):
+def run_scenario(scenario, idle_timeout_ms=5_000.0, script=None):
     """Run a scenario with an instance of large responses; nothing stays counted."""
 
     async def play(harness):
@@ -54,7 +59,7 @@
         while harness.gateway.buffers.total_bytes:
             await asyncio.sleep(0.01)
 
-    gateway_harness.run_scenario(play, [LARGE, LARGE], timeout_ms=5_000.0)
+    gateway_harness.run_scenario(play, script or [LARGE, LARGE], timeout_ms=5_000.0)
 
 
 def test_response_is_whole_for_a_caller_that_reads_late_and_closes_its_side():
@@ -153,6 +158,26 @@
     run_scenario(scenario)
 
 
+def test_caller_that_closes_its_side_behind_many_requests_gets_what_was_written():
+    """The check of a paused connection reset what the transport and kernel held."""
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        connection = await request_large(harness)
+        await read_to_the_last(connection, 100_000)
+        # The upstream does not answer these, and no more are read.
+        count = response_order.MAX_PIPELINED_REQUESTS + 1
+        await loop.sock_sendall(connection, (REQUEST + b"\r\n") * count)
+        while len(harness.upstreams[0].requests) < 2:
+            await asyncio.sleep(0.01)
+        connection.shutdown(socket.SHUT_WR)
+        while not harness.upstreams[0].aborted_requests:
+            await asyncio.sleep(0.01)
+        assert await read_all(connection) == BODY[-100_000:]
+
+    run_scenario(scenario, script=[LARGE])
+
+
 def test_closing_connection_whose_caller_stops_reading_is_given_up(monkeypatch):
     """A caller that lets its last bytes lie must not hold a connection for ever."""
     monkeypatch.setattr(caller_connection, "LINGER_S", 0.1)
