Wait in the threaded daemon until callers have received their responses

Callers of the threaded daemon saw: a request sent behind a closing response reset the connection, and the end of that response was lost; the same at the end of a drain.

Cause: the same as in the gateway. waitress closes a connection once the kernel has the last response, with whatever input is unread, and drain() counted what the kernel had as sent.

Change: entry.lingering ends the output and discards input until the caller has received everything (at most 30 s without progress); drain() counts the kernel's queue. A caller that reads nothing holds a drain until its limit, drain_ms.

Tests in entry/tests/test_caller_server.py: before, the request behind a closing response got 'Connection reset by peer' and two drains ended with bytes unsent.

--- a/src/wasabivalve/entry/caller_server.py
+++ b/src/wasabivalve/entry/caller_server.py
@@ -9,9 +9,10 @@
 import waitress.task
 
 from wasabivalve import events, outcomes
+from wasabivalve.gateway import send_queue
 from wasabivalve.schema import settings_generated
 
-from . import caller_memory, caller_request, clock
+from . import caller_memory, caller_request, clock, lingering
 
 # An idle or slow sender occupies a connection, but no thread, for this long.
 CHANNEL_TIMEOUT_S = 30
@@ -80,7 +81,7 @@
 
         Return whether that was reached within ``timeout_ms``. Requests that still
         arrive are served, with ``Connection: close``. A request is in flight from
-        the time it was read until its response was sent.
+        the time it was read until its caller has received the response.
         """
         self._draining = True
         timeout_at = clock.monotonic_ms() + timeout_ms
@@ -102,7 +103,10 @@
     def _is_busy(self) -> bool:
         channels = list(self._server.active_channels.values())
         response_unsent = any(
-            channel.requests or channel.total_outbufs_len for channel in channels
+            channel.requests
+            or channel.total_outbufs_len
+            or send_queue.unacknowledged_bytes(channel.socket)
+            for channel in channels
         )
         return bool(
             self._in_flight or self._server.task_dispatcher.queue or response_unsent
@@ -173,7 +177,9 @@
     max_line_bytes: int,
 ) -> type:
     """Return a channel class that closes connections after a response in a drain."""
-    channel_class: Any = caller_memory.make_channel_class(memory, max_line_bytes)
+    channel_class: Any = lingering.make_channel_class(
+        caller_memory.make_channel_class(memory, max_line_bytes)
+    )
 
     class DrainingTask(waitress.task.WSGITask):
         def build_response_header(self) -> bytes:
--- a/src/wasabivalve/entry/tests/test_caller_server.py
+++ b/src/wasabivalve/entry/tests/test_caller_server.py
@@ -3,13 +3,19 @@
 import contextlib
 import json
 import socket
+import time
+from concurrent import futures
 
 import pytest
 
 from wasabivalve import outcomes, settings
-from wasabivalve.entry import caller_request, caller_server
+from wasabivalve.entry import caller_request, caller_server, lingering
+from wasabivalve.gateway import send_queue
 from wasabivalve.settings.tests import test_settings
 
+LARGE_BODY = b"x" * 200_000
+"""A response that the kernel takes whole while its caller reads the first part."""
+
 
 @pytest.fixture
 def received_requests():
@@ -29,7 +35,8 @@
 
     def serve(request):
         received_requests.append(request)
-        return outcomes.Done(200, (("X-Test", "1"),), b"whole")
+        body = LARGE_BODY if request.target == "/large" else b"whole"
+        return outcomes.Done(200, (("X-Test", "1"),), body)
 
     server = caller_server.CallerServer(
         settings.merge_defaults(document), serve, {}, lambda: True
@@ -110,6 +117,66 @@
     assert body == b"whole"
 
 
+class SlowCaller:
+    """Send requests and read about 400 KB/s of the responses."""
+
+    def __init__(self, server, *connection_tokens):
+        port = server._settings["callers"]["port"]
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        self.socket.settimeout(5)
+        self.socket.connect(("127.0.0.1", port))
+        for token in connection_tokens:
+            self.send(token)
+
+    def send(self, token):
+        """Send a request whose response is large."""
+        lines = ("GET /large HTTP/1.1", "Host: test", SERVICE, f"Connection: {token}")
+        self.socket.sendall("\r\n".join((*lines, "", "")).encode())
+
+    def read_body(self):
+        """Return the body of the first response as far as it comes."""
+        received = b""
+        with self.socket:
+            while len(received.partition(b"\r\n\r\n")[2]) < len(LARGE_BODY):
+                data = self.socket.recv(4_096)
+                if not data:
+                    break
+                received += data
+                time.sleep(0.01)
+        return received.partition(b"\r\n\r\n")[2]
+
+
+def test_request_behind_a_closing_response_does_not_cut_it(server, monkeypatch):
+    """Closing under an unread request reset what the kernel still had to send."""
+    monkeypatch.setattr(lingering, "LINGER_MS", 50.0)
+    caller = SlowCaller(server, "close")
+    time.sleep(1.5)
+    caller.send("close")
+    assert caller.read_body() == LARGE_BODY
+
+
+def test_drain_waits_until_a_response_is_received(server):
+    """The drain ended once the kernel had the response; the process ended then."""
+    caller = SlowCaller(server, "keep-alive")
+    caller.socket.recv(1, socket.MSG_PEEK)
+    with futures.ThreadPoolExecutor() as executor:
+        reading = executor.submit(caller.read_body)
+        assert server.drain(5_000.0)
+        channels = list(server._server.active_channels.values())
+        unsent = [send_queue.unacknowledged_bytes(item.socket) for item in channels]
+        assert reading.result() == LARGE_BODY and not any(unsent)
+
+
+def test_caller_that_reads_nothing_does_not_hold_a_drain(server):
+    """A drain has a limit, whatever its callers do."""
+    caller = SlowCaller(server, "keep-alive")
+    started_at = time.monotonic()
+    assert not server.drain(500.0)
+    assert time.monotonic() < started_at + 2.0
+    caller.socket.close()
+
+
 @pytest.mark.parametrize(
     ("lines", "body", "status"),
     [
--- a/src/wasabivalve/gateway/send_queue.py
+++ b/src/wasabivalve/gateway/send_queue.py
@@ -19,14 +19,16 @@
     It is 0 as well if the peer has closed its side: it sends no further bytes, so
     closing the socket resets nothing and the kernel delivers what is left.
     """
-    if sock.fileno() < 0:
+    # Another thread may close the socket meanwhile.
+    descriptor = sock.fileno()
+    if descriptor < 0:
         return 0
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)
+    poll.register(descriptor, select.POLLRDHUP)
     if poll.poll(0):
         return 0
     try:
-        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+        size = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
     except OSError as error:
         _log_unknown(str(error))
         return 0
