Soak: callers that read large answers slowly

They keep their connections and record a problem when a stop of their VM cuts an answer that they asked for before it.

--- a/src/wasabivalve/platform/tests/soak/core.py
+++ b/src/wasabivalve/platform/tests/soak/core.py
@@ -14,10 +14,20 @@
 import msgspec
 
 from wasabivalve.platform.tests import store_stand_in
-from wasabivalve.platform.tests.soak import fault_relay, instances, vm_process
+from wasabivalve.platform.tests.soak import (
+    fault_relay,
+    instances,
+    slow_caller,
+    vm_process,
+)
 
 VM_COUNT = 3
 CALLER_COUNT = 12
+SLOW_CALLER_COUNT = 4
+SLOW_BYTES_PER_S = 170_000
+"""Rate at which a large answer takes longer than a VM stays in rotation, not its grace.
+"""
+
 GRACE_PERIOD_S = 3.0
 DRAIN_TIMEOUT_S = 2.5
 DESIRED_STATE_TIMEOUT_S = 2.5
@@ -245,6 +255,40 @@
                     f"{request_id} was cut by {vm.name}, which was stopping"
                 )
 
+    async def run_slow_caller(self, number):
+        """Read large answers slowly, over kept connections."""
+        generator = random.Random(number)
+        caller = None
+        while not self.finished:
+            if caller is None:
+                vm = generator.choice(self.vms)
+                caller = slow_caller.SlowCaller(vm.caller_port, SLOW_BYTES_PER_S)
+                if not await caller.start():
+                    caller = None
+                    await asyncio.sleep(0.05)
+                    continue
+            request_id = f"s{next(self._request_numbers)}"
+            sent_at = self.now()
+            end = await caller.request(instances.LARGE_PATH, request_id)
+            self.request_count += 1
+            # A stop excuses no answer that was asked for before it.
+            was_stopped = sent_at < vm.last_stopped_at
+            ran = request_id in self.run_tracker.runs_by_id
+            if end == slow_caller.AnswerEnd.WHOLE:
+                self.success_count += 1
+            elif (
+                end == slow_caller.AnswerEnd.CUT
+                and was_stopped
+                and ran
+                and vm.killed_at < sent_at
+            ):
+                self.record_problem(f"{request_id} was cut by a stop of {vm.name}")
+            if end != slow_caller.AnswerEnd.WHOLE:
+                caller.close()
+                caller = None
+        if caller is not None:
+            caller.close()
+
     async def check_versions(self):
         """Check that undisturbed VMs serve the route of the newest version in time."""
         while not self.finished:
@@ -601,6 +645,11 @@
             asyncio.create_task(soak.run_caller(number))
             for number in range(CALLER_COUNT)
         ]
+        if all_faults:
+            caller_tasks += [
+                asyncio.create_task(soak.run_slow_caller(number))
+                for number in range(SLOW_CALLER_COUNT)
+            ]
         caller_tasks.append(asyncio.create_task(soak.check_versions()))
         await soak.inject_faults(duration_s)
         await soak.check_recovery()
--- a/src/wasabivalve/platform/tests/soak/instances.py
+++ b/src/wasabivalve/platform/tests/soak/instances.py
@@ -18,6 +18,15 @@
 CHANGING_PREFIX = "/safe/changing"
 """Paths of requests that are answered until ``RunTracker.ending_paths`` has them."""
 
+LARGE_PATH = "/safe/large"
+"""Path of requests with a large answer, which a VM holds until its caller reads.
+
+Its status keeps it from being passed on while it is read, so that no fault of an
+instance cuts it.
+"""
+
+LARGE_BODY = b"0123456789abcdef" * 16_000
+
 RESTART_DELAY_S = 0.4
 """Time from the end of an instance until its new incarnation registers."""
 
@@ -149,6 +158,8 @@
             await asyncio.sleep(self._generator.uniform(*SERVICE_TIME_RANGE_S))
         finally:
             self._in_flight -= 1
+        if request.path == LARGE_PATH:
+            return self.success(request, LARGE_BODY)._replace(status=404)
         return self.success(request, f"{request_id} {request.path}".encode())
 
     def _refuse(self, request, status):
--- a/src/wasabivalve/platform/tests/soak/vm_process.py
+++ b/src/wasabivalve/platform/tests/soak/vm_process.py
@@ -45,6 +45,7 @@
         self.store_relay = store_relay
         self.disturbed_until = 0.0
         self.stopping_since = None
+        self.last_stopped_at = -1e9
         self.killed_at = -1e9
         self.paused = False
         self._process = None
@@ -100,6 +101,7 @@
         Return whether the process ended within the grace period.
         """
         self.stopping_since = asyncio.get_running_loop().time()
+        self.last_stopped_at = self.stopping_since
         self.signal(signal.SIGTERM)
         try:
             await asyncio.wait_for(self._process.wait(), grace_s)
--- a/src/wasabivalve/platform/tests/test_planned_stops.py
+++ b/src/wasabivalve/platform/tests/test_planned_stops.py
@@ -8,12 +8,11 @@
 import contextlib
 import json
 import signal
-import socket
 
 import pytest
 
 from wasabivalve.platform.tests import ports, store_stand_in
-from wasabivalve.platform.tests.soak import vm_process
+from wasabivalve.platform.tests.soak import slow_caller, vm_process
 
 pytestmark = pytest.mark.processes
 
@@ -120,12 +119,8 @@
         self.end = None
 
     async def start(self, *paths, headers=""):
-        """Connect, as a caller far away does, and send requests for paths."""
-        self._socket = socket.socket()
-        self._socket.setblocking(False)
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_400)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_048)
-        await self._loop.sock_connect(self._socket, ("127.0.0.1", self._port))
+        """Connect and send requests for paths."""
+        self._socket = await slow_caller.connect(self._port)
         await self.send(*paths, headers=headers)
 
     async def send(self, *paths, headers=""):
