--- a/src/wasabivalve/entry/tests/test_unexpected_errors.py
+++ b/src/wasabivalve/entry/tests/test_unexpected_errors.py
@@ -155,7 +155,7 @@
         reports.append,
     )
     follower.start()
-    wait_until(lambda: len(applied) > 1)
+    wait_until(lambda: len(reports) > 1)
     follower.close()
     assert applied[:2] == [[0, 1, 2], [0, 1, 2]]
     assert reports[:2] == [False, True]
