Refuse messages to a peer from its disconnection to its next handshake

Callers of the threaded daemon saw: a request between VMs that was sent right after the peer had closed its connection never failed, and was awaited to its time limit.

Cause: the socket takes messages for a moment after the event of the disconnection and loses them, and no second event comes that fails them.

Change: the bus follows the events of the connection (disconnection, handshake) and fails what is sent in between at once.

--- a/src/wasabivalve/peers/core.py
+++ b/src/wasabivalve/peers/core.py
@@ -12,6 +12,7 @@
 import zmq
 import zmq.auth
 import zmq.auth.thread
+import zmq.utils.monitor
 
 from wasabivalve import events, supervision
 from wasabivalve.schema import settings_generated
@@ -93,6 +94,7 @@
         self._wake_reader.setblocking(False)
         self._wake_writer.setblocking(False)
         self._closing = threading.Event()
+        self._connected_vms: set[str] = set()
         self._thread = threading.Thread(target=self._run, name="peer-bus", daemon=True)
         self.bytes_sent_by_kind: collections.Counter[str] = collections.Counter()
         self.messages_dropped = 0
@@ -113,7 +115,9 @@
             if peer["vm"] != self._options.vm
         }
         self._peer_by_monitor = {
-            sender.get_monitor_socket(zmq.EVENT_DISCONNECTED): vm
+            sender.get_monitor_socket(
+                zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
+            ): vm
             for vm, sender in self._sender_by_vm.items()
         }
         self._thread.start()
@@ -235,18 +239,23 @@
 
         def step() -> None:
             ready = dict(poller.poll(POLL_TIMEOUT_MS))
-            self._handle_disconnections(ready)
+            self._handle_connection_events(ready)
             self._drain_wake_signals()
             self._send_queued()
             self._receive_queued()
 
         supervision.run_steps("peer bus", step, self._closing)
 
-    def _handle_disconnections(self, ready: Mapping[Any, int]) -> None:
+    def _handle_connection_events(self, ready: Mapping[Any, int]) -> None:
         """Fail the requests to peers whose connection closed; none can be answered."""
         for monitor, vm in self._peer_by_monitor.items():
-            if monitor in ready:
-                monitor.recv_multipart()
+            if monitor not in ready:
+                continue
+            event = zmq.utils.monitor.recv_monitor_message(monitor)["event"]
+            if event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
+                self._connected_vms.add(vm)
+            else:
+                self._connected_vms.discard(vm)
                 self.fail_pending(vm)
 
     def _drain_wake_signals(self) -> None:
@@ -272,10 +281,15 @@
         if sender is None:
             self._drop("unknown peer", outgoing.peer)
             return
+        if outgoing.peer not in self._connected_vms:
+            # The socket still takes messages for a moment after a disconnection, and
+            # loses them.
+            self._fail_request(outgoing.frames[1], outgoing.peer)
+            return
         try:
             sender.send_multipart(outgoing.frames, zmq.NOBLOCK)
         except zmq.Again:
-            # There is no connection, or its queue is full.
+            # The queue of the connection is full.
             self._fail_request(outgoing.frames[1], outgoing.peer)
             return
         size = sum(len(frame) for frame in outgoing.frames)
--- a/src/wasabivalve/peers/tests/test_peers.py
+++ b/src/wasabivalve/peers/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import types
 
 import hypothesis
 import hypothesis.strategies as st
@@ -99,6 +100,30 @@
         first.close()
 
 
+def test_request_after_a_disconnection_is_not_given_to_the_socket(endpoint_by_vm):
+    """The socket takes messages for a moment after a disconnection, and loses them."""
+    first = make_bus("a", endpoint_by_vm, lambda incoming: None)
+    second = make_bus("b", endpoint_by_vm, answer_probe)
+    first.start()
+    second.start()
+    try:
+        assert request_until_connected(first)
+    finally:
+        second.close()
+    sender = first._sender_by_vm["b"]
+    try:
+        with pytest.raises(peers.PeerLostError):
+            while True:
+                first.request("b", "probe", PROBE).result(10)
+        taking = types.SimpleNamespace(send_multipart=lambda *arguments: None)
+        first._sender_by_vm["b"] = taking
+        with pytest.raises(peers.PeerLostError):
+            first.request("b", "probe", PROBE).result(5)
+    finally:
+        first._sender_by_vm["b"] = sender
+        first.close()
+
+
 def test_messages_of_an_undeclared_sender_are_rejected(endpoint_by_vm):
     """Otherwise any host on the network could send commands."""
     received = threading.Event()
--- a/src/wasabivalve/platform/tests/test_planned_stops.py
+++ b/src/wasabivalve/platform/tests/test_planned_stops.py
@@ -259,6 +259,9 @@
             async with asyncio.timeout(40.0):
                 await deployment.start(following_count)
                 await scenario(*deployment.vms)
+        except TimeoutError as error:
+            logs = "\n".join(vm.log_text()[-1_500:] for vm in deployment.vms)
+            raise AssertionError(f"logs of the VMs:\n{logs}") from error
         finally:
             await deployment.close()
 
