Pace the reading of tiny chunks from instances

Callers' tiny chunks were paced (ReadPace), those of instances were not.

Change: a connection to an instance pauses by the same pace, which all connections of the process share; the pauses of a stream and of the pace are kept apart.

--- a/src/wasabivalve/gateway/tests/test_faulty_upstreams.py
+++ b/src/wasabivalve/gateway/tests/test_faulty_upstreams.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import strategies
 
-from wasabivalve.gateway import caller_connection, messages, receiving
+from wasabivalve.gateway import caller_connection, messages, read_pace, receiving
 from wasabivalve.gateway import upstream_connection as upstream_connections
 from wasabivalve.gateway.tests import gateway_harness
 
@@ -305,6 +305,50 @@
     close = abort
 
 
+class PausableTransport(FakeTransport):
+    """Record whether the connection is read."""
+
+    is_read = True
+
+    def pause_reading(self):
+        """Record that nothing is read."""
+        self.is_read = False
+
+    def resume_reading(self):
+        """Record that the connection is read."""
+        self.is_read = True
+
+
+def test_tiny_chunks_of_an_instance_are_read_at_a_pace():
+    """Parsing them took all turns of the event loop; sound requests timed out."""
+
+    async def play():
+        buffers = receiving.ReceiveBuffers(receiving.MIB)
+        connection = upstream_connections.UpstreamConnection(
+            0.0, receiving.DEFAULT_LIMITS, buffers
+        )
+        transport = PausableTransport()
+        connection.connection_made(transport)
+        connection.exchange(b"x")
+        connection.data_received(
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        )
+        connection.data_received(b"1000\r\n" + b"b" * 4_096 + b"\r\n")
+        assert transport.is_read
+        connection.data_received(b"2\r\nbb\r\n" * 2_000)
+        assert not transport.is_read
+        # A caller that has read must not end the pause, nor its end one for the caller.
+        connection._resume_stream()
+        assert not transport.is_read
+        connection._pause_stream()
+        await asyncio.sleep(10 * 2_000 * read_pace.SECONDS_PER_PIECE)
+        assert not transport.is_read
+        connection._resume_stream()
+        assert transport.is_read
+
+    asyncio.run(play())
+
+
 @hypothesis.given(
     sent_by_request=strategies.lists(
         strategies.lists(PARTS, max_size=4), min_size=1, max_size=3
--- a/src/wasabivalve/gateway/upstream_connection.py
+++ b/src/wasabivalve/gateway/upstream_connection.py
@@ -88,6 +88,9 @@
         self._mismatched_responses = 0
         self._unsent_body = memoryview(b"")
         self._writing_paused = False
+        self._stream_paused = False
+        self._paced = False
+        self._pieces = 0
         self._parser: Any = None
         self._reset_parser()
 
@@ -193,7 +196,9 @@
             # No exchange is in progress, so these bytes belong to no request.
             self.abort()
             return
-        self.received_at = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        self.received_at = loop.time()
+        self._pieces = 0
         self._overhead_bytes += len(data)
         if self._buffers is not None and self._stream is None:
             self._buffers.add(self, len(data))
@@ -208,6 +213,31 @@
         )
         if self._overhead_bytes > max_overhead_bytes:
             self._fail_over_limit(f"{self._limits.overhead_bytes} bytes of head")
+        if self._buffers is not None:
+            pause_s = self._buffers.pace.pause_s(self.received_at, self._pieces)
+            if pause_s:
+                self._paced = True
+                self._update_reading()
+                loop.call_later(pause_s, self._end_pace)
+
+    def _end_pace(self) -> None:
+        self._paced = False
+        self._update_reading()
+
+    def _pause_stream(self) -> None:
+        self._stream_paused = True
+        self._update_reading()
+
+    def _resume_stream(self) -> None:
+        self._stream_paused = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        assert self._transport is not None
+        if self._paced or self._stream_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def on_evicted(self) -> None:
         """Fail the exchange, as this process holds too many bytes."""
@@ -281,6 +311,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._pieces += 1
         self._overhead_bytes -= len(body)
         self._body_bytes += len(body)
         if self._stream is not None:
@@ -333,8 +364,8 @@
         stream = response_stream.ResponseStream(
             None if length is None else int(length),
             self._buffers,
-            self._transport.pause_reading,
-            self._transport.resume_reading,
+            self._pause_stream,
+            self._resume_stream,
         )
         self._release_buffers()
         body, self._body = bytes(self._body), bytearray()
@@ -357,7 +388,7 @@
         if not keep_alive or unsent:
             self.usable = False
         # Reading may have paused; the connection must be readable when it is idle.
-        self._transport.resume_reading()
+        self._resume_stream()
         stream.finish()
 
     def _complete_response(self, close_delimited: bool) -> None:
