Let no foreign entry that is read first hide an instance

Cause: an entry of an unconfigured service was refused only if the instance was known with a configured one. A VM that had just started knew none, or no configuration yet, and took the foreign entry; the instance's own entries, whose time of birth is lower, were ignored from then on, also after the foreign one had lapsed.

Change: a stored entry whose service is not configured keeps none of a configured service out, whatever their versions, and neither does a removed one (the directory keeps the removed entries in place of their versions).

Tests: test_foreign_entry_that_is_read_first_hides_no_instance (four cases) and test_foreign_entry_that_a_starting_vm_reads_first_hides_no_instance failed before.

--- a/src/wasabivalve/placement/directory.py
+++ b/src/wasabivalve/placement/directory.py
@@ -22,8 +22,8 @@
 has ended meanwhile.
 """
 
-MAX_REMOVED_VERSIONS = 2_000
-"""Entry versions of removed instances that are stored, to ignore late entries."""
+MAX_REMOVED_INSTANCES = 2_000
+"""Removed instances that are stored, to ignore late entries."""
 
 Listener = Callable[
     [core.RegisteredInstance | None, core.RegisteredInstance | None], None
@@ -36,19 +36,29 @@
     sequence: int
 
 
+def _version(instance: core.RegisteredInstance) -> _EntryVersion:
+    return _EntryVersion(instance.born, instance.sequence)
+
+
 class InstanceDirectory:
     """Hold the registered instances by id.
 
     ``now`` is in ms of a monotonic clock. ``max_relay_gap_ms`` is the longest time
-    without word of a reachable registry.
+    without word of a reachable registry. ``is_configured`` tells of a service; an entry
+    of any other one may be foreign, and keeps none of a configured service out.
     """
 
-    def __init__(self, on_change: Listener, max_relay_gap_ms: float = 0.0) -> None:
+    def __init__(
+        self,
+        on_change: Listener,
+        max_relay_gap_ms: float = 0.0,
+        is_configured: Callable[[str], bool] = lambda service: True,
+    ) -> None:
         self.instance_by_id: dict[str, core.RegisteredInstance] = {}
         self._on_change = on_change
+        self._is_configured = is_configured
         self._min_contact_gap_ms = max(MIN_CONTACT_GAP_MS, max_relay_gap_ms)
-        self._version_by_id: dict[str, _EntryVersion] = {}
-        self._removed_version_by_id: dict[str, _EntryVersion] = {}
+        self._removed_by_id: dict[str, core.RegisteredInstance] = {}
         self._removal_due_by_id: dict[str, float] = {}
         self._recovered_at: float | None = None
         self._unreachable_since: float | None = None
@@ -100,18 +110,15 @@
 
         Return whether it cancels a removal that was deferred.
         """
-        stored = self._version_by_id.get(
-            instance.id, self._removed_version_by_id.get(instance.id)
-        )
-        version = _EntryVersion(instance.born, instance.sequence)
-        if stored is not None and version < stored:
-            return False
-        if stored == version and instance.id not in self.instance_by_id:
-            return False
-        self._version_by_id[instance.id] = version
-        self._removed_version_by_id.pop(instance.id, None)
-        removal_due = self._removal_due_by_id.pop(instance.id, None)
         before = self.instance_by_id.get(instance.id)
+        stored = before or self._removed_by_id.get(instance.id)
+        if stored is not None and not self._may_be_foreign(stored, instance):
+            if _version(instance) < _version(stored):
+                return False
+            if _version(instance) == _version(stored) and before is None:
+                return False
+        self._removed_by_id.pop(instance.id, None)
+        removal_due = self._removal_due_by_id.pop(instance.id, None)
         self.instance_by_id[instance.id] = instance
         if (
             before is None
@@ -125,6 +132,18 @@
             self._on_change(before, instance)
         return removal_due is not None
 
+    def _may_be_foreign(
+        self, stored: core.RegisteredInstance, instance: core.RegisteredInstance
+    ) -> bool:
+        """Return whether a stored entry must not keep another one out.
+
+        A process that has just started may read a foreign entry before the
+        instance's own one, or before it knows which services are configured.
+        """
+        return not self._is_configured(stored.service) and self._is_configured(
+            instance.service
+        )
+
     def on_removed(self, instance_id: str, now: float) -> None:
         """Remove an instance, at once or after the grace period of an outage."""
         if instance_id not in self.instance_by_id:
@@ -165,8 +184,8 @@
         before = self.instance_by_id.pop(instance_id, None)
         if before is None:
             return
-        removed = self._removed_version_by_id
-        removed[instance_id] = self._version_by_id.pop(instance_id)
-        if len(removed) > MAX_REMOVED_VERSIONS:
+        removed = self._removed_by_id
+        removed[instance_id] = before
+        if len(removed) > MAX_REMOVED_INSTANCES:
             del removed[next(iter(removed))]
         self._on_change(before, None)
--- a/src/wasabivalve/placement/tests/test_directory.py
+++ b/src/wasabivalve/placement/tests/test_directory.py
@@ -1,5 +1,7 @@
 """Test which instances count as registered, also through registry outages."""
 
+import pytest
+
 from wasabivalve.placement import core, directory
 
 
@@ -37,6 +39,28 @@
     assert instances.instance_by_id
 
 
+@pytest.mark.parametrize("ends", ["stays", "lapses"])
+@pytest.mark.parametrize("known_late", [False, True])
+def test_foreign_entry_that_is_read_first_hides_no_instance(ends, known_late):
+    """Its later time of birth kept the instance's own entries out for good."""
+    configured = set() if known_late else {"desk"}
+    instances = directory.InstanceDirectory(
+        lambda before, after: None, is_configured=configured.__contains__
+    )
+    if known_late:
+        instances.on_entry(entry(sequence=1))
+    instances.on_entry(entry(service="ledger", host="10.0.0.9", born=9_000))
+    if ends == "lapses":
+        instances.on_removed("i-1", 0.0)
+    instances.on_entry(entry(sequence=2))
+    configured.add("desk")
+    instances.on_entry(entry(sequence=3))
+    assert instances.instance_by_id == {"i-1": entry(sequence=3)}
+    # Old entries that come late are ignored as before.
+    instances.on_entry(entry(sequence=2, host="10.0.0.9"))
+    assert instances.instance_by_id == {"i-1": entry(sequence=3)}
+
+
 def test_draining_is_applied_at_once():
     """A draining instance must get no request that it would break off."""
     instances, changes = build()
@@ -168,11 +192,11 @@
 def test_number_of_stored_versions_is_bounded():
     """Restarts over weeks must not exhaust the memory."""
     instances, _ = build()
-    for number in range(directory.MAX_REMOVED_VERSIONS + 50):
+    for number in range(directory.MAX_REMOVED_INSTANCES + 50):
         instances.on_entry(entry(f"i-{number}"))
         instances.on_removed(f"i-{number}", 0.0)
-    stored = len(instances._version_by_id) + len(instances._removed_version_by_id)
-    assert stored == directory.MAX_REMOVED_VERSIONS
+    stored = len(instances.instance_by_id) + len(instances._removed_by_id)
+    assert stored == directory.MAX_REMOVED_INSTANCES
 
 
 def test_versions_of_thousands_of_instances_are_stored():
@@ -181,7 +205,7 @@
     300 VMs with 3,000 instances spent more time on that than on anything else.
     """
     instances, _ = build()
-    names = [f"i-{number}" for number in range(3 * directory.MAX_REMOVED_VERSIONS)]
+    names = [f"i-{number}" for number in range(3 * directory.MAX_REMOVED_INSTANCES)]
     for name in names:
         instances.on_entry(entry(name, sequence=5))
     for name in names:
@@ -192,4 +216,4 @@
         instances.on_removed(name, 0.0)
     instances.on_entry(entry(names[-1], sequence=5))
     assert not instances.instance_by_id
-    assert len(instances._removed_version_by_id) == directory.MAX_REMOVED_VERSIONS
+    assert len(instances._removed_by_id) == directory.MAX_REMOVED_INSTANCES
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -242,6 +242,7 @@
         self._instance_directory = directory.InstanceDirectory(
             self._on_instance_change,
             SECOND_MS * exchange.max_relay_gap_s(self._relay_validity_s),
+            lambda service: self._find_service(service) is not None,
         )
         self._gateway = gateway.Gateway(
             headers.HEADER_FORMAT,
--- a/src/wasabivalve/platform/tests/test_foreign_values.py
+++ b/src/wasabivalve/platform/tests/test_foreign_values.py
@@ -372,3 +372,31 @@
         assert await served()
 
     test_entry_vm.run_scenario(scenario)
+
+
+def test_foreign_entry_that_a_starting_vm_reads_first_hides_no_instance():
+    """The instance got no request for good (RECOVER)."""
+
+    async def scenario(stand_in, plain, keyed, vm_settings, vm):
+        foreign = test_entry_vm.encode_entry(
+            plain, service="ledger-of-last-year", born=2_000_000_000_000
+        )
+        stand_in.put("keyed.servers", "i-plain", foreign)
+
+        async def is_read():
+            known = vm._instance_directory.instance_by_id.get("i-plain")
+            return known is not None and known.born > 1
+
+        await test_entry_vm.wait_until(is_read)
+        stand_in.put("keyed.op", "config", test_entry_vm.encode_desired_state(2))
+
+        async def is_ready():
+            return vm.is_ready()
+
+        await test_entry_vm.wait_until(is_ready)
+        own = test_entry_vm.encode_entry(plain, sequence=2)
+        stand_in.put("keyed.servers", "i-plain", own)
+        served = test_entry_vm.check_served(vm_settings, "/plain/x")
+        await test_entry_vm.wait_until(served)
+
+    test_entry_vm.run_scenario(scenario)
