Prove by a connection of its own that an instance got a fencing grant

Cause: before keys are released, a fencing grant with a higher token has to be confirmed, so that grants in flight are refused. GrantClient took the first answer on the kept connection for its own, which may be a copy of the answer to an earlier renewal; and a renewal confirmed by such a copy counted as answered, so that no fencing grant was sent.

Change: a fencing grant takes a connection of its own, as a release does, and any other grant counts as in flight for the next release (unproved_expiry_ms). Waits for a lost holder do not change. A release costs one grant and one connection more.

--- a/src/wasabivalve/key_leases/controller.py
+++ b/src/wasabivalve/key_leases/controller.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import math
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from typing import Any
@@ -85,7 +86,7 @@
             dependencies,
             moves.MoveActions(
                 self._has_authority,
-                self._send_grant,
+                functools.partial(self._send_grant, is_fencing=True),
                 self._renew_leases,
                 self._write_ranges,
                 self._list_candidates,
@@ -411,12 +412,17 @@
         supervision.log_task_error("key controller: call to an instance", task)
 
     async def _send_grant(
-        self, lease: leases.RangeLease, instance: placement.RegisteredInstance
+        self,
+        lease: leases.RangeLease,
+        instance: placement.RegisteredInstance,
+        is_fencing: bool = False,
     ) -> None:
         term = self._term
         sent_at_ms = self._calls.now_ms()
         previous_unanswered_expiry_ms = lease.unanswered_expiry_ms
         lease.unanswered_expiry_ms = sent_at_ms + self._max_grant_lifetime_ms()
+        if not is_fencing:
+            lease.unproved_expiry_ms = lease.unanswered_expiry_ms
         result = await self._calls.grant(
             instance,
             lease.range.first,
@@ -425,6 +431,7 @@
             self._lease_duration_ms / 1000.0,
             lease.handover,
             leases.CALL_TIMEOUT_MS,
+            is_fencing,
         )
         if result == "granted":
             # From now on the instance refuses grants of earlier terms.
--- a/src/wasabivalve/key_leases/leases.py
+++ b/src/wasabivalve/key_leases/leases.py
@@ -96,7 +96,8 @@
     Times are in ms, but lease durations in s; ``now_ms`` also counts time for which
     the machine was suspended. An append names the offset and the era of the store at
     which it is valid; ``store_era`` returns the newest era that this VM has seen, and
-    ``era_seen_at_ms`` when it first saw that one, None if the store names none.
+    ``era_seen_at_ms`` when it first saw that one, None if the store names none. A grant
+    takes ``is_fencing`` last: its answer must be its own, not a copy of an earlier one.
     """
 
     now_ms: Callable[[], float]
@@ -105,7 +106,7 @@
         [core.AssignmentMap, int, int], Awaitable[AppendResult]
     ]
     grant: Callable[
-        [placement.RegisteredInstance, int, int, int, float, str | None, float],
+        [placement.RegisteredInstance, int, int, int, float, str | None, float, bool],
         Awaitable[GrantResult],
     ]
     release: Callable[
@@ -145,7 +146,8 @@
     """Hold the state of the lease of one assigned range; times in ms of ``now_ms``.
 
     ``granted_expiry_ms`` bounds the confirmed grants and those of earlier terms,
-    ``unanswered_expiry_ms`` the unanswered ones. Until ``earliest_expiry_ms`` the
+    ``unanswered_expiry_ms`` the unanswered ones, ``unproved_expiry_ms`` those whose
+    answer may be a copy of an earlier one. Until ``earliest_expiry_ms`` the
     holder certainly has the lease. While ``renewals_stopped`` no renewal is sent;
     each attempt of a release may still send one fencing grant. A ``reassignable`` range
     has no holder any more. A ``held`` one is not granted, as the store may have lost
@@ -161,6 +163,7 @@
     confirmed: bool = False
     failing_since_ms: float | None = None
     unanswered_expiry_ms: float = 0.0
+    unproved_expiry_ms: float = 0.0
     earliest_expiry_ms: float = 0.0
     consecutive_unanswered: int = 0
     announced_moving: bool = False
--- a/src/wasabivalve/key_leases/moves.py
+++ b/src/wasabivalve/key_leases/moves.py
@@ -46,7 +46,7 @@
     """Hold what moves need of the controller, which grants and keeps its authority."""
 
     has_authority: Callable[[], bool]
-    send_grant: Callable[
+    send_fencing_grant: Callable[
         [leases.RangeLease, placement.RegisteredInstance], Awaitable[None]
     ]
     renew_leases: Callable[[], Awaitable[None]]
@@ -131,13 +131,14 @@
         If one may still be in flight, a grant with a higher token is sent first: once
         that is confirmed, the instance refuses the older ones.
         """
-        if lease.confirmed and self._calls.now_ms() >= lease.unanswered_expiry_ms:
+        last_expiry_ms = max(lease.unanswered_expiry_ms, lease.unproved_expiry_ms)
+        if lease.confirmed and self._calls.now_ms() >= last_expiry_ms:
             return True
         lease.token = self._writer.next_token()
         lease.confirmed = False
-        await self._actions.send_grant(lease, instance)
+        await self._actions.send_fencing_grant(lease, instance)
         if lease.confirmed:
-            lease.unanswered_expiry_ms = 0.0
+            lease.unanswered_expiry_ms = lease.unproved_expiry_ms = 0.0
         return lease.confirmed
 
     async def transfer_ranges(
--- a/src/wasabivalve/platform/grants.py
+++ b/src/wasabivalve/platform/grants.py
@@ -52,10 +52,12 @@
         lease_s: float,
         handover: str | None,
         timeout_ms: float,
+        is_fencing: bool = False,
     ) -> leases.GrantResult:
         """Grant a range of keys, or renew the grant that has the same token.
 
-        The range includes its first and last key.
+        The range includes its first and last key. A fencing grant uses a connection of
+        its own, as a copy of an earlier answer would confirm it.
         """
         # ``fence`` is the fencing token, ``target`` the last key of the range.
         body: dict[str, object] = {
@@ -66,7 +68,9 @@
         }
         if handover is not None:
             body["handover"] = handover
-        response = await self._call(instance, b"/api/grant", body, timeout_ms)
+        response = await self._call(
+            instance, b"/api/grant", body, timeout_ms, own_connection=is_fencing
+        )
         if isinstance(response, upstream_connection.NotSent):
             return "not_sent"
         if isinstance(response, upstream_connection.ExchangeFailed):
--- a/src/wasabivalve/platform/tests/test_entry_vm.py
+++ b/src/wasabivalve/platform/tests/test_entry_vm.py
@@ -426,3 +426,36 @@
         other.close()
 
     asyncio.run(main())
+
+
+def test_fencing_grant_is_not_confirmed_by_a_copy_of_an_earlier_answer():
+    """An instance that had left took its keys back by a late grant (OWNER)."""
+
+    async def serve(reader, writer):
+        answers = iter((b"200 OK", b"200 OK"))
+        if connections:
+            answers = iter((b"409 Conflict",))
+        connections.append(writer)
+        for status in answers:
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            length = head.partition(b"content-length: ")[2].partition(b"\r\n")[0]
+            await reader.readexactly(int(length))
+            # The second one on a connection is a copy of the first.
+            writer.write(b"HTTP/1.1 " + status + b"\r\ncontent-length: 0\r\n\r\n")
+
+    connections = []
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        instance = instance_stand_in.InstanceStandIn("i-1").registered_instance(
+            port=port
+        )
+        grant_client = grants.GrantClient(lambda service: "")
+        arguments = (instance, 0, 9, 1, 4.0, None, 500.0)
+        assert await grant_client.grant(*arguments) == "granted"
+        assert await grant_client.grant(*arguments, is_fencing=True) == "refused"
+        grant_client.close()
+        server.close()
+
+    asyncio.run(main())
