Reset the connection of an answer without a length when its VM is killed

Cause: the kernel closes the sockets of a killed process in order.

Change: while such an answer is sent, its socket has SO_LINGER with a time of 0, so that any close resets it; the option is taken back when the process hands over the last byte and closes. A length is not added, because the end of the instance's connection does not prove that its answer was whole.

Test: test_killed_vm_leaves_no_part_of_an_answer_that_looks_whole took the part for a whole answer before.

--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -189,9 +189,13 @@
         may have left: the work on all other requests ends.
         """
         self._responses.end_requests()
-        if not self._responses.is_sending:
+        if not self._responses.has_unwritten:
+            self._allow_orderly_end()
             return False
-        self.close()
+        if self._responses.ends_with_connection:
+            self.finish()
+        else:
+            self.close()
         return True
 
     def close(self) -> None:
@@ -199,7 +203,18 @@
         self._closing = True
         self._stop_timer()
         if self._transport is not None:
-            self._responses.when_written(self._transport.close)
+            self._responses.when_written(self._close_transport)
+
+    def _close_transport(self) -> None:
+        assert self._transport is not None
+        if not self._responses.has_unwritten:
+            self._allow_orderly_end()
+        self._transport.close()
+
+    def _allow_orderly_end(self) -> None:
+        """Let the kernel end the connection in order, as it has the whole response."""
+        if self._responses.ends_with_connection and self._transport is not None:
+            disconnects.set_reset_on_close(self._transport, False)
 
     def finish(self) -> None:
         """Close after the last response, when the caller closes or after a time."""
--- a/src/wasabivalve/gateway/disconnects.py
+++ b/src/wasabivalve/gateway/disconnects.py
@@ -9,6 +9,7 @@
 """Events that the kernel reports also while received bytes are unread."""
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 
 
 def has_left(transport: asyncio.Transport) -> bool:
@@ -33,11 +34,18 @@
 
 def reset(transport: asyncio.Transport) -> None:
     """Close a connection at once; the peer sees an error, and unsent bytes are lost."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        except OSError:
-            # The socket is closed already; nothing is left to drop.
-            pass
+    set_reset_on_close(transport, True)
     transport.abort()
+
+
+def set_reset_on_close(transport: asyncio.Transport, resets: bool) -> None:
+    """Choose whether closing a connection, also by a kill, resets it."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    option = RESET_ON_CLOSE if resets else ORDERLY_CLOSE
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    except OSError:
+        # The socket is closed already; nothing is left to drop.
+        pass
--- a/src/wasabivalve/gateway/response_sender.py
+++ b/src/wasabivalve/gateway/response_sender.py
@@ -9,6 +9,7 @@
 from wasabivalve.desired_state import core as desired_state
 
 from . import (
+    disconnects,
     memory_account,
     messages,
     receiving,
@@ -94,6 +95,7 @@
         self._closed = False
         self._ending = False
         self._announced_idle_s: float | None = None
+        self.ends_with_connection = False
 
     @property
     def busy(self) -> bool:
@@ -340,6 +342,11 @@
                 connection_headers.append((b"keep-alive", value))
         else:
             connection_headers.append((b"connection", b"close"))
+        if response.close_delimited and self._transport is not None:
+            # The kernel would end the connection of a killed process in order, and
+            # the part of the response that was sent would look complete.
+            self.ends_with_connection = True
+            disconnects.set_reset_on_close(self._transport, True)
         for_head_request = request is not None and request.method == b"HEAD"
         self._unread.write(
             *messages.split_response(response, connection_headers, for_head_request)
--- a/src/wasabivalve/platform/tests/test_planned_stops.py
+++ b/src/wasabivalve/platform/tests/test_planned_stops.py
@@ -362,3 +362,21 @@
         assert [caller.answers() for caller in (*callers, endless)] == [[]] * 4
 
     run_scenario(scenario, tmp_path)
+
+
+def test_killed_vm_leaves_no_part_of_an_answer_that_looks_whole(tmp_path):
+    """The kernel ended connections in order whose end was the answer's (MIXED)."""
+
+    async def scenario(leading, following):
+        caller, whole_caller = (Caller(following.caller_port) for _ in range(2))
+        await caller.start("/plain/endless")
+        await whole_caller.start("/plain/endless")
+        await whole_caller.read(1e9)
+        reading = asyncio.create_task(caller.read())
+        await asyncio.sleep(STOP_AFTER_S)
+        await following.kill()
+        await reading
+        assert caller.received and caller.answers() == []
+        assert whole_caller.answers() == [(200, BODY)]
+
+    run_scenario(scenario, tmp_path)
