--- a/src/wasabivalve/events/catalogue.py
+++ b/src/wasabivalve/events/catalogue.py
@@ -79,6 +79,7 @@
     (414, "INFO", "requests behind the last response of a connection were dropped"),
     (415, "WARNING", "connection was reset, as its caller did not read a response"),
     (416, "WARNING", "the system does not tell what a peer has not acknowledged"),
+    (417, "WARNING", "connections of callers were closed, as too many were open"),
     (420, "INFO", "request was answered"),
     # Configuration, 500 to 599.
     (500, "INFO", "configuration is in force"),
--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -12,6 +12,7 @@
 from wasabivalve.desired_state import core as desired_state
 
 from . import (
+    connection_limit,
     disconnects,
     incoming_request,
     messages,
@@ -72,6 +73,7 @@
         self._unsent_bytes = 0
         self._progressed_at = 0.0
         self._receiving = False
+        self._read_at = self._loop.time()
         self._paced = False
         self._pieces = 0
         self._reset_message()
@@ -81,6 +83,12 @@
         """Return whether a request is being read or served, or its response is sent."""
         return self._receiving or self._responses.busy or self._lingering
 
+    @property
+    def activity(self) -> connection_limit.Activity:
+        """Return what the limit of connections needs to know."""
+        is_idle = not (self.busy or self._responses.has_unwritten)
+        return connection_limit.Activity(self._receiving, is_idle, self._read_at)
+
     @property
     def is_idle(self) -> bool:
         """Return whether nothing is read or served and the caller has received all."""
@@ -284,6 +292,7 @@
         if not self._receiving:
             self._receiving = True
             self._start_header_timeout()
+        self._read_at = self._loop.time()
         self._message.add_read(len(data))
         wait_s = self._head_wait_s(data)
         if wait_s is None:
@@ -303,7 +312,7 @@
             return 0.0
         head = data.partition(b"\r\n\r\n")[0]
         return self._server.buffers.pace.head_wait_s(
-            self._loop.time(), len(self._message.headers), head.count(b"\n")
+            self._read_at, len(self._message.headers), head.count(b"\n")
         )
 
     def _parse_later(self, data: bytes) -> None:
--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -14,6 +14,7 @@
 
 from . import (
     caller_connection,
+    connection_limit,
     crash_watch,
     instance_responses,
     instance_selection,
@@ -87,6 +88,7 @@
         limits: ramp_up.PacedLimits | None = None,
         claim_trial: crash_watch.TrialClaim | None = None,
         link_mbps: float = math.inf,
+        max_connections: float = math.inf,
     ) -> None:
         limits = limits or ramp_up.PacedLimits(shared_facts.FactBoard())
         self.stopping = False
@@ -130,6 +132,7 @@
         self._callbacks = callbacks
         self._route_table: desired_state.RouteTable | None = None
         self._service_chooser = desired_state.WeightedRoundRobin()
+        self._max_connections = max_connections
         self._connections: set[caller_connection.CallerConnection] = set()
         self._stop_timeouts: set[asyncio.Timeout] = set()
         self._server: asyncio.Server | None = None
@@ -216,8 +219,26 @@
         return self._route_table.state.limits
 
     def on_open(self, connection: caller_connection.CallerConnection) -> None:
-        """Record that a connection was opened."""
+        """Record that a connection was opened; close others if there are too many."""
         self._connections.add(connection)
+        if len(self._connections) > self._max_connections:
+            self._make_room(connection)
+
+    def _make_room(self, opened: caller_connection.CallerConnection) -> None:
+        """Close connections that wait for their callers, or else the opened one."""
+        assert self._loop is not None
+        others = self._connections - {opened}
+        closed = connection_limit.choose_closed(
+            ((connection, connection.activity) for connection in others),
+            self._loop.time(),
+            self._max_connections,
+        ) or [opened]
+        for connection in closed:
+            # An orderly end could wait for a caller that keeps its side open.
+            connection.abort()
+            self._connections.discard(connection)
+        self.metrics.count("connection.dropped", amount=len(closed))
+        events.emit(417, open=len(self._connections), closed=len(closed))
 
     def on_closed(self, connection: caller_connection.CallerConnection) -> None:
         """Record that a connection was closed."""
--- a/src/wasabivalve/metrics/core.py
+++ b/src/wasabivalve/metrics/core.py
@@ -23,6 +23,7 @@
     ("upstream.reset_survived", "counter", "resets by instances that did not end"),
     ("buffer.bytes", "gauge", "memory of what is held for callers and instances"),
     ("buffer.limit", "gauge", "memory that may be held for callers and instances"),
+    ("connection.dropped", "counter", "caller connections closed to make room"),
     ("buffer.evicted", "gauge", "messages given up for lack of buffers since start"),
     ("buffer.unread_evicted", "gauge", "unread responses given up for lack of buffers"),
     ("store.call", "gauge", "calls to the platform's store since the start"),
--- a/src/wasabivalve/platform/core.py
+++ b/src/wasabivalve/platform/core.py
@@ -8,8 +8,13 @@
 
 from wasabivalve import events, shared_facts, supervision, untrusted_data
 from wasabivalve.desired_state import core as desired_state
+from wasabivalve.gateway import (
+    connection_limit,
+    instance_selection,
+    internal_http,
+    messages,
+)
 from wasabivalve.gateway import core as gateway
-from wasabivalve.gateway import instance_selection, internal_http, messages
 from wasabivalve.key_leases import controller, key_loads, leases, view
 from wasabivalve.key_leases import core as key_leases
 from wasabivalve.keyed_log import core as keyed_log
@@ -272,6 +277,7 @@
             self._paced_limits,
             self._fact_sharing.claim_trial,
             vm_settings.link_mbps,
+            connection_limit.max_connections(vm_settings.max_descriptors),
         )
         self._controller = controller.KeyLeaseController(
             vm_settings.vm,
--- a/src/wasabivalve/platform/settings.py
+++ b/src/wasabivalve/platform/settings.py
@@ -76,6 +76,7 @@
     message_limits: receiving.MessageLimits
     receive_buffer_bytes: int
     warmup_bounds: ramp_up.WarmupBounds | None = None
+    max_descriptors: float = math.inf
 
     @property
     def vm_registration(self) -> vm_directory.VmRegistration:
@@ -191,6 +192,13 @@
             self.add_finding(path, f"is {shown}, which is too large")
             return default
 
+    def read_optional_number(self, path: str, default: float) -> float:
+        """Return the number at a dotted path, or the default if there is none."""
+        table, _, name = path.rpartition(".")
+        if name not in self._table.get(table, {}):
+            return default
+        return self.read_number(path, default)
+
     def read_bounds(self) -> dict[str, float]:
         """Return the numbers in ``bounds``, a list of ``name=value`` strings."""
         value_by_bound = {}
@@ -290,7 +298,10 @@
             ),
         ),
     )
-    vm_settings = vm_settings._replace(warmup_bounds=_read_warmup(value_by_bound))
+    vm_settings = vm_settings._replace(
+        warmup_bounds=_read_warmup(value_by_bound),
+        max_descriptors=reader.read_optional_number("limits.max_fds", math.inf),
+    )
     if reader.findings:
         return RejectedSettings(tuple(reader.findings))
     return vm_settings
