Keep connections with requests in progress when there are too many

A connection that is not read because its requests are in progress, or because its head waits for its turn, counted as one whose caller has stopped and could be closed.

--- a/src/wasabivalve/gateway/caller_connection.py
+++ b/src/wasabivalve/gateway/caller_connection.py
@@ -86,8 +86,13 @@
     @property
     def activity(self) -> connection_limit.Activity:
         """Return what the limit of connections needs to know."""
-        is_idle = not (self.busy or self._responses.has_unwritten)
-        return connection_limit.Activity(self._receiving, is_idle, self._read_at)
+        is_answered = not (self._responses.busy or self._responses.has_unwritten)
+        return connection_limit.Activity(
+            # What is paused waits for this process, not for the caller.
+            self._receiving and is_answered and not self._paced,
+            is_answered and not self.busy,
+            self._read_at,
+        )
 
     @property
     def is_idle(self) -> bool:
--- a/src/wasabivalve/gateway/connection_limit.py
+++ b/src/wasabivalve/gateway/connection_limit.py
@@ -22,7 +22,8 @@
 class Activity(NamedTuple):
     """Say what a connection is doing; ``read_at`` is when it was last read.
 
-    ``is_receiving`` is true within a request, ``is_idle`` if nothing is in progress.
+    ``is_receiving`` is true if nothing but the rest of a request is waited for, and
+    ``is_idle`` if nothing is in progress.
     """
 
     is_receiving: bool
--- a/src/wasabivalve/gateway/tests/test_connection_limit.py
+++ b/src/wasabivalve/gateway/tests/test_connection_limit.py
@@ -1,6 +1,7 @@
 """Test which connections make room for others."""
 
 import asyncio
+import contextlib
 
 from wasabivalve.gateway import connection_limit
 from wasabivalve.gateway.tests import gateway_harness
@@ -50,3 +51,26 @@
             writer.close()
 
     gateway_harness.run_scenario(scenario, [gateway_harness.OK] * 3)
+
+
+def test_requests_in_progress_keep_their_connection():
+    """A connection that has begun to send its next request is not a stopped one."""
+
+    async def scenario(harness):
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        head = b"GET /safe/x HTTP/1.1\r\nhost: h\r\nrequest-id: r1\r\n"
+        writer.write(head + b"\r\n" + head)
+        while not harness.upstreams[0].requests:
+            await asyncio.sleep(0.01)
+        harness.gateway._max_connections = 1
+        await asyncio.sleep(connection_limit.MIN_STALL_S + 0.1)
+        other, other_writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        with contextlib.suppress(ConnectionResetError):
+            assert await other.read() == b""
+        assert (await gateway_harness.read_response(reader))[0] == 200
+        for each_writer in (writer, other_writer):
+            each_writer.close()
+
+    gateway_harness.run_scenario(
+        scenario, [gateway_harness.LATE_PREFIX + gateway_harness.OK], timeout_ms=3_000.0
+    )
