--- a/src/wasabivalve/gateway/core.py
+++ b/src/wasabivalve/gateway/core.py
@@ -37,7 +37,7 @@
 ACCEPTS_PER_TURN = 16
 """Connections accepted in one turn of the event loop.
 
-Requests in progress wait for the end of each turn, which takes 0.3 s with 512.
+Each step of a request in progress waits for the end of a turn.
 """
 
 DEFAULT_RECEIVE_BUFFER_BYTES = 32 * receiving.MIB
